--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Every task of the project has a target here.
+.PHONY: test format vet lint unit build demo bench fuzz
+
+# RAPID_SEED fixes the random seeds of the property tests, so that every run gives the same verdict.
+RAPID_SEED ?= 20261204
+
+test: format vet lint unit
+
+format:
+	@out=$$(gofmt -l cmd internal); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+vet:
+	go vet ./...
+
+lint:
+	go tool staticcheck ./...
+
+unit:
+	RAPID_SEED=$(RAPID_SEED) go test -race -count=1 ./...
+
+build:
+	go build -o bin/papayapaddle ./cmd/papayapaddle
+
+demo:
+	go run ./cmd/papayapaddle demo
+
+bench:
+	go test -run='^$$' -bench=. -benchmem ./...
--- /dev/null
+++ b/internal/accountant/accountant.go
@@ -0,0 +1,222 @@
+// Package accountant adds up the service that workspaces received across the
+// fleet. An owner keeps a Ledger of what it granted; each account's Home sums
+// the owners' cumulative counts and answers with the fleet-wide value.
+//
+// A count is cumulative for one incarnation of an owner, so a repeated or late
+// report changes nothing. An owner echoes the value it last received, from
+// which a lost home is rebuilt. All values are weighted service: cost divided
+// by the workspace's weight.
+package accountant
+
+import (
+	"time"
+
+	"papayapaddle/internal/encoder"
+)
+
+const (
+	// IdleGrace is how long a workspace keeps its account untouched between two
+	// backlogs. After it, the workspace is lifted to the least backlogged one,
+	// because idling must not save up service.
+	IdleGrace = 3 * time.Second
+	// ForgetAfter bounds memory: an account without reports is dropped then.
+	ForgetAfter = 10 * time.Minute
+)
+
+// Key names an account.
+type Key struct {
+	Pool      uint32
+	Workspace uint32
+}
+
+// Source is one incarnation of a reporting owner.
+type Source struct {
+	Router      string
+	Incarnation uint64
+}
+
+// base is what a home has included of one source.
+type base struct {
+	seq   uint64
+	total float64
+}
+
+type homeAccount struct {
+	value          float64
+	backloggedTill time.Time
+	reportedAt     time.Time
+	bases          map[Source]base
+}
+
+// Home sums accounts. The zero value is an empty home.
+type Home struct {
+	accounts map[Key]*homeAccount
+}
+
+// Report takes one owner's count in and returns the fleet-wide value.
+func (h *Home) Report(now time.Time, from Source, r encoder.Report) encoder.Account {
+	a := h.account(Key{Pool: r.Pool, Workspace: r.Workspace})
+	a.reportedAt = now
+	b, known := a.bases[from]
+	if !known {
+		// A source without a base says itself what its echo contained.
+		b.total = r.EchoTotal
+	}
+	if !known || r.Seq > b.seq {
+		added := a.value + r.Total - b.total
+		echoed := r.Echo + r.Total - r.EchoTotal
+		a.value = max(0, added, echoed)
+		a.bases[from] = base{seq: r.Seq, total: r.Total}
+		a.lift(now, r)
+	}
+	return encoder.Account{
+		Pool:      r.Pool,
+		Workspace: r.Workspace,
+		Value:     a.value,
+		Included:  a.bases[from].total,
+	}
+}
+
+// lift raises a workspace that comes back from idling to the least backlogged
+// one. Only the home decides this, since only it knows whether the workspace
+// was backlogged at any other owner.
+func (a *homeAccount) lift(now time.Time, r encoder.Report) {
+	if !r.Backlogged {
+		return
+	}
+	if !now.Before(a.backloggedTill) {
+		a.value = max(a.value, r.Floor)
+	}
+	a.backloggedTill = now.Add(IdleGrace)
+}
+
+func (h *Home) account(k Key) *homeAccount {
+	if h.accounts == nil {
+		h.accounts = map[Key]*homeAccount{}
+	}
+	a := h.accounts[k]
+	if a == nil {
+		a = &homeAccount{bases: map[Source]base{}}
+		h.accounts[k] = a
+	}
+	return a
+}
+
+// Expire drops accounts that nobody has reported for ForgetAfter.
+func (h *Home) Expire(now time.Time) {
+	for k, a := range h.accounts {
+		if now.Sub(a.reportedAt) > ForgetAfter {
+			delete(h.accounts, k)
+		}
+	}
+}
+
+// Len returns the number of accounts.
+func (h *Home) Len() int { return len(h.accounts) }
+
+// account is an owner's part of one account.
+type account struct {
+	total     float64
+	value     float64
+	included  float64
+	seq       uint64
+	heard     bool
+	changedAt time.Time
+}
+
+// Ledger is an owner's side of the accounts. The zero value is empty.
+type Ledger struct {
+	accounts map[Key]*account
+}
+
+func (l *Ledger) account(k Key) *account {
+	if l.accounts == nil {
+		l.accounts = map[Key]*account{}
+	}
+	a := l.accounts[k]
+	if a == nil {
+		a = &account{}
+		l.accounts[k] = a
+	}
+	return a
+}
+
+// Value returns the best known fleet-wide value of the account.
+func (l *Ledger) Value(k Key) float64 {
+	a := l.accounts[k]
+	if a == nil {
+		return 0
+	}
+	return a.value + a.total - a.included
+}
+
+// Heard says whether a home has answered for the account.
+func (l *Ledger) Heard(k Key) bool {
+	a := l.accounts[k]
+	return a != nil && a.heard
+}
+
+// Charge adds weighted service; a negative amount corrects an estimate.
+func (l *Ledger) Charge(now time.Time, k Key, weighted float64) {
+	a := l.account(k)
+	a.total = max(0, a.total+weighted)
+	a.changedAt = now
+}
+
+// Due lists the accounts whose count the home has not confirmed.
+func (l *Ledger) Due() []Key {
+	var keys []Key
+	for k, a := range l.accounts {
+		if a.total != a.included || !a.heard {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+// Report makes the report of an account for its home.
+func (l *Ledger) Report(k Key, floor float64, backlogged bool) encoder.Report {
+	a := l.account(k)
+	a.seq++
+	return encoder.Report{
+		Pool:       k.Pool,
+		Workspace:  k.Workspace,
+		Seq:        a.seq,
+		Total:      a.total,
+		EchoTotal:  a.included,
+		Echo:       a.value,
+		Floor:      floor,
+		Backlogged: backlogged,
+	}
+}
+
+// Install takes a home's answer in. An answer that includes less than an
+// earlier one may still be newer, since corrections are negative; homes answer
+// in order on one connection, so the last one wins.
+func (l *Ledger) Install(a encoder.Account) {
+	acc := l.account(Key{Pool: a.Pool, Workspace: a.Workspace})
+	acc.value = a.Value
+	acc.included = a.Included
+	acc.heard = true
+}
+
+// Expire drops confirmed accounts that have not changed for ForgetAfter.
+func (l *Ledger) Expire(now time.Time) {
+	for k, a := range l.accounts {
+		if now.Sub(a.changedAt) > ForgetAfter && a.total == a.included {
+			delete(l.accounts, k)
+		}
+	}
+}
+
+// Keys lists the accounts.
+func (l *Ledger) Keys() []Key {
+	keys := make([]Key, 0, len(l.accounts))
+	for k := range l.accounts {
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+// Len returns the number of accounts.
+func (l *Ledger) Len() int { return len(l.accounts) }
--- /dev/null
+++ b/internal/assembler/gossip.go
@@ -0,0 +1,145 @@
+package assembler
+
+import (
+	"sync"
+
+	"papayapaddle/internal/accountant"
+	"papayapaddle/internal/encoder"
+	"papayapaddle/internal/exchanger"
+)
+
+// gossip adds to the scheduler's messages what routers pass on to each other:
+// configuration versions and tombstones of leaving backend servers.
+type gossip struct {
+	node *node
+
+	mu sync.Mutex
+	// want holds the peers that have a newer configuration.
+	want map[string]bool
+	// leaving holds the tombstones that a peer has not been told.
+	leaving map[string][]encoder.Leaving
+}
+
+func (g *gossip) handlers() exchanger.Handlers {
+	return exchanger.Handlers{
+		Receive:    g.receive,
+		Drain:      g.drain,
+		Absorb:     g.absorb,
+		SendFailed: g.sendFailed,
+		Up:         g.up,
+		Down:       g.down,
+		Version:    g.node.installer.Version,
+	}
+}
+
+// receive handles a peer's message and returns the reply.
+func (g *gossip) receive(from accountant.Source, m *encoder.Message) encoder.Message {
+	g.learn(from.Router, m)
+	reply := g.node.scheduler.Receive(from, m)
+	g.add(from.Router, &reply)
+	if m.WantChanges {
+		reply.Changes, reply.Snapshot = g.node.installer.Since(m.ConfigVersion)
+	}
+	return reply
+}
+
+// absorb handles the reply to an own message.
+func (g *gossip) absorb(from accountant.Source, m *encoder.Message) {
+	g.learn(from.Router, m)
+	g.node.scheduler.Absorb(from, m)
+}
+
+// drain returns the message for a peer.
+func (g *gossip) drain(peer string) encoder.Message {
+	m := g.node.scheduler.Drain(peer)
+	g.add(peer, &m)
+	g.mu.Lock()
+	m.WantChanges = g.want[peer]
+	delete(g.want, peer)
+	g.mu.Unlock()
+	return m
+}
+
+func (g *gossip) add(peer string, m *encoder.Message) {
+	m.ConfigVersion = g.node.installer.Version()
+	m.Stopping = g.node.draining.Load()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.Leaving = append(m.Leaving, g.leaving[peer]...)
+	delete(g.leaving, peer)
+}
+
+// learn takes in what a peer passed on, and asks for what it has more.
+func (g *gossip) learn(peer string, m *encoder.Message) {
+	n := g.node
+	n.tracker.HeardPeer()
+	if m.Stopping {
+		n.tracker.SetGiving(peer)
+	}
+	if len(m.Leaving) > 0 {
+		n.tracker.Leave(m.Leaving)
+	}
+	if len(m.Changes) > 0 || m.Snapshot != nil {
+		if err := n.installer.InstallEncoded(m.Changes, m.Snapshot); err != nil {
+			n.log("config-from-peer-refused", "peer", peer, "err", err)
+		}
+	}
+	if m.ConfigVersion <= n.installer.Version() {
+		return
+	}
+	g.mu.Lock()
+	if g.want == nil {
+		g.want = map[string]bool{}
+	}
+	g.want[peer] = true
+	g.mu.Unlock()
+	n.exchanger.Wake(peer)
+}
+
+// spreadLeaving tells all peers of tombstones that are new here.
+func (g *gossip) spreadLeaving(ls []encoder.Leaving) {
+	for peer := range g.node.tracker.Dump().Peers {
+		g.queueLeaving(peer, ls)
+		g.node.exchanger.Wake(peer)
+	}
+}
+
+func (g *gossip) queueLeaving(peer string, ls []encoder.Leaving) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaving == nil {
+		g.leaving = map[string][]encoder.Leaving{}
+	}
+	g.leaving[peer] = append(g.leaving[peer], ls...)
+}
+
+func (g *gossip) sendFailed(peer string, m *encoder.Message) {
+	if len(m.Leaving) > 0 {
+		g.queueLeaving(peer, m.Leaving)
+	}
+	g.node.scheduler.SendFailed(peer, m)
+}
+
+func (g *gossip) up(peer string) {
+	if ls := g.node.tracker.Tombstones(); len(ls) > 0 {
+		g.queueLeaving(peer, ls)
+	}
+	g.node.scheduler.PeerUp(peer)
+	g.node.tracker.SetReachable(peer, true)
+	g.node.log("peer-up", "peer", peer)
+}
+
+func (g *gossip) down(peer string) {
+	g.node.scheduler.PeerDown(peer)
+	g.node.tracker.SetReachable(peer, false)
+	g.node.log("peer-down", "peer", peer)
+}
+
+// forget drops what is kept for a router that has left the list.
+func (g *gossip) forget(peer string) {
+	g.mu.Lock()
+	delete(g.want, peer)
+	delete(g.leaving, peer)
+	g.mu.Unlock()
+	g.node.scheduler.Forget(peer)
+}
--- /dev/null
+++ b/internal/demonstrator/demonstrator_test.go
@@ -0,0 +1,107 @@
+package demonstrator_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/internal/declarer"
+	"papayapaddle/internal/demonstrator"
+	"papayapaddle/internal/emulator"
+)
+
+func start(c *qt.C, routers int) *demonstrator.Deployment {
+	c.Helper()
+	d, err := demonstrator.Start(context.Background(), demonstrator.Options{
+		Plan: emulator.Plan{
+			Zones: []string{"graz-a", "graz-b"}, Engines: 2, Slots: 4, Services: 2, ServiceSlots: 4,
+			Speed: emulator.EngineSpeed{TokenEvery: time.Millisecond, FullBatch: 4, ChunkTokens: 2, CacheBlocks: 64}, Seed: 1,
+		},
+		Routers:    routers,
+		Workspaces: []declarer.Workspace{demonstrator.Workspace("solar-quotes", 1)},
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(d.Close)
+	return d
+}
+
+func call(c *qt.C, method, url, key, body string) (int, http.Header, string) {
+	c.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer "+demonstrator.KeyOf("solar-quotes"))
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	return resp.StatusCode, resp.Header, string(b)
+}
+
+// TestWholePath sends a streamed and a whole model request and a booking, each
+// through another router of a fleet of two.
+func TestWholePath(t *testing.T) {
+	c := qt.New(t)
+	d := start(c, 2)
+	a, b := d.Members[0].URL(), d.Members[1].URL()
+
+	status, _, body := call(c, "POST", a+"/v1/chat/completions", "",
+		`{"model":"papaya-chat","stream":true,"max_tokens":7,"user":"u"}`)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(strings.HasSuffix(body, "data: [DONE]\n\n"), qt.IsTrue)
+	c.Assert(strings.Contains(body, "u-6 "), qt.IsTrue)
+
+	status, _, body = call(c, "POST", b+"/v1/completions", "", `{"model":"papaya-chat","max_tokens":3,"user":"v"}`)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(strings.Contains(body, `"v-0 v-1 v-2 "`), qt.IsTrue)
+
+	status, _, first := call(c, "POST", a+"/services/booking/visits", "visit-1", `{"day":1}`)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	for {
+		status, h, again := call(c, "POST", b+"/services/booking/visits", "visit-1", `{"day":1}`)
+		if status == http.StatusConflict {
+			// The first answer is not recorded yet.
+			continue
+		}
+		c.Assert(h.Get("Idempotency-Replayed"), qt.Equals, "true")
+		c.Assert(again, qt.Equals, first)
+		break
+	}
+	c.Assert(d.Host.Ledger.Runs(), qt.HasLen, 1)
+}
+
+// TestProblems checks that bad requests are told what is wrong and not run.
+func TestProblems(t *testing.T) {
+	c := qt.New(t)
+	d := start(c, 1)
+	url := d.Members[0].URL()
+	cases := []struct {
+		path, body string
+		status     int
+		title      string
+	}{
+		{"/v1/completions", `{"model":`, 400, "broken JSON"},
+		{"/v1/completions", `{"model":"other"}`, 404, "unknown model"},
+		{"/services/none/x", ``, 404, "unknown service"},
+		{"/v2", ``, 404, "no such path"},
+		{"/v1/completions", strings.Repeat("x", 2<<20), 413, "body too large"},
+	}
+	for _, k := range cases {
+		status, h, body := call(c, "POST", url+k.path, "", k.body)
+		var p struct{ Title, Outcome string }
+		c.Assert(json.Unmarshal([]byte(body), &p), qt.IsNil, qt.Commentf(body))
+		c.Assert(status, qt.Equals, k.status)
+		c.Assert(p.Title, qt.Equals, k.title)
+		c.Assert(p.Outcome, qt.Equals, "not-run")
+		c.Assert(h.Get("Content-Type"), qt.Equals, "application/problem+json")
+	}
+}
--- /dev/null
+++ b/internal/encoder/codec.go
@@ -0,0 +1,135 @@
+package encoder
+
+import (
+	"bufio"
+	"io"
+	"net/rpc"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"papayapaddle/internal/failer"
+)
+
+// The methods of the peer service, by their number on the wire.
+var methods = []string{"", "Peer.Hello", "Peer.Exchange"}
+
+func methodNumber(name string) (uint8, error) {
+	for i, m := range methods {
+		if m == name && i > 0 {
+			return uint8(i), nil
+		}
+	}
+	return 0, failer.New("encode", KindInvalid, "unknown method "+name)
+}
+
+// codec is one connection's msgpack coder; net/rpc serializes writes and reads.
+type codec struct {
+	c     io.Closer
+	w     *bufio.Writer
+	limit *limitReader
+	enc   *msgpack.Encoder
+	dec   *msgpack.Decoder
+}
+
+// limitReader refuses a message that grows above the limit.
+type limitReader struct {
+	r    io.Reader
+	left int
+}
+
+func (l *limitReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, failer.New("decode", KindInvalid, "message too large")
+	}
+	if len(p) > l.left {
+		p = p[:l.left]
+	}
+	n, err := l.r.Read(p)
+	l.left -= n
+	return n, err
+}
+
+func newCodec(c io.ReadWriteCloser) *codec {
+	w := bufio.NewWriter(c)
+	limit := &limitReader{r: bufio.NewReader(c), left: MaxMessageBytes}
+	enc := msgpack.NewEncoder(w)
+	enc.UseCompactInts(true)
+	enc.UseCompactFloats(true)
+	return &codec{c: c, w: w, limit: limit, enc: enc, dec: msgpack.NewDecoder(limit)}
+}
+
+func (c *codec) write(h *header, body any) error {
+	if err := c.enc.Encode(h); err != nil {
+		return err
+	}
+	if err := c.enc.Encode(body); err != nil {
+		return err
+	}
+	return c.w.Flush()
+}
+
+func (c *codec) readHeader() (header, error) {
+	c.limit.left = MaxMessageBytes
+	var h header
+	err := c.dec.Decode(&h)
+	return h, err
+}
+
+func (c *codec) readBody(body any) error {
+	if body == nil {
+		return c.dec.Skip()
+	}
+	if err := c.dec.Decode(body); err != nil {
+		return err
+	}
+	if m, ok := body.(*Message); ok {
+		return m.Check()
+	}
+	return nil
+}
+
+func (c *codec) Close() error { return c.c.Close() }
+
+type clientCodec struct{ *codec }
+
+// NewClientCodec returns the codec of the calling side.
+func NewClientCodec(c io.ReadWriteCloser) rpc.ClientCodec { return &clientCodec{newCodec(c)} }
+
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	n, err := methodNumber(r.ServiceMethod)
+	if err != nil {
+		return err
+	}
+	return c.write(&header{Method: n, Seq: r.Seq}, body)
+}
+
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	h, err := c.readHeader()
+	r.Seq, r.Error = h.Seq, h.Error
+	return err
+}
+
+func (c *clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
+
+type serverCodec struct{ *codec }
+
+// NewServerCodec returns the codec of the serving side.
+func NewServerCodec(c io.ReadWriteCloser) rpc.ServerCodec { return &serverCodec{newCodec(c)} }
+
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	h, err := c.readHeader()
+	if err != nil {
+		return err
+	}
+	if int(h.Method) >= len(methods) || h.Method == 0 {
+		return failer.New("decode", KindInvalid, "unknown method number")
+	}
+	r.ServiceMethod, r.Seq = methods[h.Method], h.Seq
+	return nil
+}
+
+func (c *serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
+
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	return c.write(&header{Seq: r.Seq, Error: r.Error}, body)
+}
--- /dev/null
+++ b/internal/encoder/encoder.go
@@ -0,0 +1,226 @@
+// Package encoder holds the messages between routers and their codec for
+// net/rpc. A message batches all that one router has to say to another; fields
+// that say nothing cost no byte, and items are encoded as arrays without names,
+// because control traffic has a budget.
+package encoder
+
+//lint:file-ignore U1000 the codec's library reads the fields named _msgpack
+
+import (
+	"fmt"
+
+	"papayapaddle/internal/failer"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// The kinds of error.
+const (
+	KindInvalid Kind = "invalid message"
+	KindClosed  Kind = "connection closed"
+)
+
+// Error is the error type of this package.
+type Error = failer.Error[Kind]
+
+// Limits on what a peer may send in one message.
+const (
+	// MaxItems bounds each list of a message.
+	MaxItems = 65536
+	// MaxMessageBytes bounds the encoded size of one message.
+	MaxMessageBytes = 8 << 20
+)
+
+// header precedes every request and response. A response has no method.
+type header struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Method   uint8
+	Seq      uint64
+	Error    string
+}
+
+// Hello opens a connection: it tells who speaks and with which codec version.
+type Hello struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Name        string
+	Incarnation uint64
+	Codec       uint8
+}
+
+// CodecVersion is refused when it differs, so that two releases never
+// misread each other.
+const CodecVersion = 1
+
+// Message is one exchange between two routers; its reply is a Message too.
+type Message struct {
+	// ConfigVersion is the sender's installed configuration version.
+	ConfigVersion uint64 `msgpack:"v,omitempty"`
+	// Sync says that Registers and Held are the sender's whole state towards
+	// the receiver as an owner, and replace what it knew.
+	Sync      bool       `msgpack:"y,omitempty"`
+	Registers []Register `msgpack:"g,omitempty"`
+	Releases  []Release  `msgpack:"r,omitempty"`
+	Offers    []Offer    `msgpack:"o,omitempty"`
+	Progress  []Progress `msgpack:"p,omitempty"`
+	Held      []Held     `msgpack:"h,omitempty"`
+	Reports   []Report   `msgpack:"a,omitempty"`
+	Accounts  []Account  `msgpack:"b,omitempty"`
+	Idle      []Idle     `msgpack:"i,omitempty"`
+	Leaving   []Leaving  `msgpack:"l,omitempty"`
+	// WantChanges asks for the configuration changes after ConfigVersion.
+	WantChanges bool `msgpack:"w,omitempty"`
+	// Changes are JSON-encoded configuration changes or one snapshot.
+	Changes  [][]byte `msgpack:"c,omitempty"`
+	Snapshot []byte   `msgpack:"s,omitempty"`
+	// WantSync asks the receiver for its whole state towards the sender.
+	WantSync bool `msgpack:"z,omitempty"`
+	// AskMe asks the receiver to ask for a sync over its own connection, which
+	// keeps the answer in order with the receiver's offers.
+	AskMe bool `msgpack:"k,omitempty"`
+	// Stopping says that the sender gives up its ownerships.
+	Stopping bool `msgpack:"x,omitempty"`
+}
+
+// Register tells an owner that requests of a workspace wait at the sender.
+// Count 0 withdraws the registration.
+type Register struct {
+	_msgpack  struct{} `msgpack:",as_array"`
+	Pool      uint32
+	Workspace uint32
+	Count     uint32
+	// Urgency is the rank of the most urgent waiting request.
+	Urgency uint8
+	// WaitedMillis is how long the head has waited, in ms.
+	WaitedMillis uint32
+	// Cost is the estimated cost of the head.
+	Cost uint32
+}
+
+// Release gives a slot back and settles its cost.
+type Release struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Server   uint32
+	Ticket   uint32
+	// Cost is the true cost; 0 hands the slot back unused.
+	Cost uint32
+	// FirstMillis is the time to the first token in ms, 0 if unknown.
+	FirstMillis uint32
+	// BetweenMicros is the mean time between tokens in µs, 0 if unknown.
+	BetweenMicros uint32
+	// Failed says that the server did not answer as it should.
+	Failed bool
+}
+
+// Offer grants one slot to a workspace whose requests wait at the receiver.
+type Offer struct {
+	_msgpack  struct{} `msgpack:",as_array"`
+	Server    uint32
+	Ticket    uint32
+	Workspace uint32
+	// Charge is what the owner charged for the grant.
+	Charge uint32
+}
+
+// Progress tells the cost so far of a stream that outgrew its charge.
+type Progress struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Server   uint32
+	Ticket   uint32
+	Cost     uint32
+}
+
+// Held announces a slot that the sender occupies to the server's new owner.
+type Held struct {
+	_msgpack  struct{} `msgpack:",as_array"`
+	Server    uint32
+	Ticket    uint32
+	Workspace uint32
+	Charge    uint32
+}
+
+// Report is an owner's cumulative count for an account, sent to its home.
+type Report struct {
+	_msgpack  struct{} `msgpack:",as_array"`
+	Pool      uint32
+	Workspace uint32
+	// Seq grows with each report of one incarnation, so that a late or repeated
+	// one is known.
+	Seq uint64
+	// Total is the weighted service since the sender's start.
+	Total float64
+	// EchoTotal was the Total when Echo was received from a home.
+	EchoTotal float64
+	// Echo is the fleet-wide value last received, 0 if none.
+	Echo float64
+	// Floor is the least value among the other backlogged workspaces at the
+	// sender, to which a workspace that was idle is lifted.
+	Floor float64
+	// Backlogged says that the workspace waits at the sender.
+	Backlogged bool
+}
+
+// Account is the home's answer to a report.
+type Account struct {
+	_msgpack  struct{} `msgpack:",as_array"`
+	Pool      uint32
+	Workspace uint32
+	// Value is the fleet-wide weighted service.
+	Value float64
+	// Included is the receiver's Total that Value contains.
+	Included float64
+}
+
+// Idle tells how many slots of a pool the sender has free with nobody waiting.
+type Idle struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Pool     uint32
+	Free     uint32
+}
+
+// Leaving is a tombstone of one incarnation of a backend server.
+type Leaving struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Server      uint32
+	Incarnation uint64
+}
+
+// Check refuses a message that no router of this version sends.
+func (m *Message) Check() error {
+	n := max(len(m.Registers), len(m.Releases), len(m.Offers), len(m.Progress), len(m.Held),
+		len(m.Reports), len(m.Accounts), len(m.Idle), len(m.Leaving), len(m.Changes))
+	if n > MaxItems {
+		return failer.New("check message", KindInvalid, fmt.Sprintf("a list of %d items, at most %d are allowed", n, MaxItems))
+	}
+	for _, r := range m.Reports {
+		if !finite(r.Total, r.EchoTotal, r.Echo, r.Floor) {
+			return failer.New("check message", KindInvalid, "a report holds a value that is negative or no number")
+		}
+	}
+	for _, a := range m.Accounts {
+		if !finite(a.Value, a.Included) {
+			return failer.New("check message", KindInvalid, "an account holds a value that is negative or no number")
+		}
+	}
+	return nil
+}
+
+// maxValue bounds account values; it is far above any real service count and
+// low enough that sums stay exact.
+const maxValue = 1 << 52
+
+func finite(vs ...float64) bool {
+	for _, v := range vs {
+		if !(v >= 0 && v <= maxValue) {
+			return false
+		}
+	}
+	return true
+}
+
+// Empty says that the message carries nothing but the configuration version.
+func (m *Message) Empty() bool {
+	return !m.Sync && !m.Stopping && !m.WantSync && !m.AskMe && !m.WantChanges && m.Snapshot == nil &&
+		len(m.Registers)+len(m.Releases)+len(m.Offers)+len(m.Progress)+len(m.Held)+
+			len(m.Reports)+len(m.Accounts)+len(m.Idle)+len(m.Leaving)+len(m.Changes) == 0
+}
--- /dev/null
+++ b/internal/granter/granter.go
@@ -0,0 +1,492 @@
+// Package granter decides, for the backend servers that a router owns, which
+// waiting workspace gets the next free slot. It binds late: a slot is granted
+// when it is free, to the registered workspace with the least weighted service.
+//
+// The package does no I/O and reads no clock.
+package granter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"papayapaddle/internal/encoder"
+	"papayapaddle/internal/queuer"
+)
+
+const (
+	// betweenTarget is the stated bound on the time between tokens.
+	betweenTarget = 71 * time.Millisecond
+	// firstTarget is the stated bound on the time to the first token.
+	firstTarget = 550 * time.Millisecond
+	// adaptEvery is the least time between two changes of a server's limit.
+	adaptEvery = time.Second
+	// slowdown and speedup change a server's limit: multiplicative decrease,
+	// additive increase.
+	slowdown = 0.9
+	speedup  = 0.5
+	// failuresToSuspend is how many failures in a row suspend a server.
+	failuresToSuspend = 3
+	// minSuspend and maxSuspend bound how long a failing server gets no work.
+	minSuspend = time.Second
+	maxSuspend = 10 * time.Second
+)
+
+// Account names the weighted service of a workspace in a pool.
+type Account = queuer.Key
+
+// Accounts is what the granter needs of the accounts. All fields must be set.
+type Accounts struct {
+	// Value returns the fleet-wide weighted service.
+	Value func(Account) float64
+	// Charge adds cost, which may be negative, to the account.
+	Charge func(now time.Time, k Account, cost float64)
+}
+
+// Registration is a workspace's work that waits at one router.
+type Registration struct {
+	Count   int
+	Urgency uint8
+	Since   time.Time
+	Cost    float64
+}
+
+// ticketKey names a held slot. Tickets of different owners may meet at one
+// server after a change of owner, so the holder is part of the name.
+type ticketKey struct {
+	router string
+	ticket uint32
+}
+
+type hold struct {
+	account Account
+	charge  float64
+	// adopted holds were granted by an earlier owner.
+	adopted bool
+}
+
+type server struct {
+	id       uint32
+	pool     uint32
+	zone     string
+	slots    int
+	limit    float64
+	holds    map[ticketKey]hold
+	leaving  bool
+	readyAt  time.Time
+	adaptAt  time.Time
+	failures int
+	// suspendedTill is when a failing server is tried again.
+	suspendedTill time.Time
+	suspension    time.Duration
+}
+
+// Server describes an owned backend server.
+type Server struct {
+	ID               uint32
+	Pool             uint32
+	AvailabilityZone string
+	Slots            int
+	// Leaving servers are granted no new work.
+	Leaving bool
+}
+
+// Grant is a slot given to a router for a workspace.
+type Grant struct {
+	Router string
+	Offer  encoder.Offer
+}
+
+// Owner holds the state of the owned servers. The zero value with Accounts set
+// owns nothing.
+type Owner struct {
+	Accounts Accounts
+	// ZoneOf returns the availability zone of a router; nil knows none.
+	ZoneOf func(router string) string
+	// Ticket is the last ticket minted. An owner starts at a random number, so
+	// that a ticket rarely meets another owner's.
+	Ticket uint32
+
+	servers map[uint32]*server
+	waiting map[Account]map[string]Registration
+}
+
+// SetServers installs the owned servers. One that is new here is granted past
+// what its holders announce only from readyAt on.
+func (o *Owner) SetServers(servers []Server, readyAt time.Time) {
+	old := o.servers
+	o.servers = make(map[uint32]*server, len(servers))
+	for _, d := range servers {
+		s := old[d.ID]
+		if s == nil {
+			s = &server{id: d.ID, limit: float64(d.Slots), holds: map[ticketKey]hold{}, readyAt: readyAt}
+		}
+		if s.slots != d.Slots {
+			s.limit = float64(d.Slots)
+		}
+		s.pool = d.Pool
+		s.zone = d.AvailabilityZone
+		s.slots = d.Slots
+		s.leaving = d.Leaving
+		o.servers[d.ID] = s
+	}
+}
+
+// Owns says whether the server is owned here.
+func (o *Owner) Owns(server uint32) bool { return o.servers[server] != nil }
+
+// Register notes what waits at a router; a count of 0 withdraws it.
+func (o *Owner) Register(router string, k Account, r Registration) {
+	if r.Count == 0 {
+		delete(o.waiting[k], router)
+		if len(o.waiting[k]) == 0 {
+			delete(o.waiting, k)
+		}
+		return
+	}
+	if o.waiting == nil {
+		o.waiting = map[Account]map[string]Registration{}
+	}
+	if o.waiting[k] == nil {
+		o.waiting[k] = map[string]Registration{}
+	}
+	o.waiting[k][router] = r
+}
+
+// Registered returns the accounts that wait here.
+func (o *Owner) Registered() []Account {
+	keys := make([]Account, 0, len(o.waiting))
+	for k := range o.waiting {
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+// Backlogged says whether the account waits here.
+func (o *Owner) Backlogged(k Account) bool { return len(o.waiting[k]) > 0 }
+
+// Floor returns the least value among the other accounts that wait for the
+// pool, or 0 if none does.
+func (o *Owner) Floor(k Account) float64 {
+	floor, found := 0.0, false
+	for other := range o.waiting {
+		if other.Pool != k.Pool || other == k {
+			continue
+		}
+		if v := o.Accounts.Value(other); !found || v < floor {
+			floor, found = v, true
+		}
+	}
+	return floor
+}
+
+// Hold notes a slot that a router announces to this new owner. It says whether
+// the slot was not known before.
+func (o *Owner) Hold(router string, h encoder.Held) bool {
+	s := o.servers[h.Server]
+	if s == nil {
+		return false
+	}
+	k := ticketKey{router: router, ticket: h.Ticket}
+	if _, known := s.holds[k]; known {
+		return false
+	}
+	s.holds[k] = hold{
+		account: Account{Pool: s.pool, Workspace: h.Workspace},
+		charge:  float64(h.Charge),
+		adopted: true,
+	}
+	return true
+}
+
+// Sync replaces all that is known of a router by what it says it holds; its
+// registrations are withdrawn and follow anew.
+func (o *Owner) Sync(now time.Time, router string, held []encoder.Held) {
+	o.withdraw(router)
+	keep := map[uint32]map[uint32]bool{}
+	for _, h := range held {
+		if keep[h.Server] == nil {
+			keep[h.Server] = map[uint32]bool{}
+		}
+		keep[h.Server][h.Ticket] = true
+	}
+	for _, s := range o.servers {
+		for k, h := range s.holds {
+			if k.router == router && !keep[s.id][k.ticket] {
+				o.drop(now, s, k, h)
+			}
+		}
+	}
+	for _, h := range held {
+		o.Hold(router, h)
+	}
+}
+
+// drop frees a slot whose grant never reached its router, and takes the charge
+// back.
+func (o *Owner) drop(now time.Time, s *server, k ticketKey, h hold) {
+	delete(s.holds, k)
+	if !h.adopted {
+		o.Accounts.Charge(now, h.account, -h.charge)
+	}
+}
+
+// Gone frees all that a router held. Its charges stand, since the work was done
+// in part and its cost is not known.
+func (o *Owner) Gone(router string) {
+	o.withdraw(router)
+	for _, s := range o.servers {
+		for k := range s.holds {
+			if k.router == router {
+				delete(s.holds, k)
+			}
+		}
+	}
+}
+
+// Holds says whether the router holds a slot of a server owned here.
+func (o *Owner) Holds(router string) bool {
+	for _, s := range o.servers {
+		for k := range s.holds {
+			if k.router == router {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (o *Owner) withdraw(router string) {
+	for k := range o.waiting {
+		o.Register(router, k, Registration{})
+	}
+}
+
+// Release settles a slot. A repeated release changes nothing.
+func (o *Owner) Release(now time.Time, router string, r encoder.Release) {
+	s := o.servers[r.Server]
+	if s == nil {
+		return
+	}
+	k := ticketKey{router: router, ticket: r.Ticket}
+	h, ok := s.holds[k]
+	if !ok {
+		return
+	}
+	delete(s.holds, k)
+	o.Accounts.Charge(now, h.account, float64(r.Cost)-h.charge)
+	if r.Cost == 0 && !r.Failed {
+		return
+	}
+	s.observe(now, r)
+}
+
+// Progress charges a stream that has outgrown its estimate.
+func (o *Owner) Progress(now time.Time, router string, p encoder.Progress) {
+	s := o.servers[p.Server]
+	if s == nil {
+		return
+	}
+	k := ticketKey{router: router, ticket: p.Ticket}
+	h, ok := s.holds[k]
+	if !ok || float64(p.Cost) <= h.charge {
+		return
+	}
+	o.Accounts.Charge(now, h.account, float64(p.Cost)-h.charge)
+	h.charge = float64(p.Cost)
+	s.holds[k] = h
+}
+
+// observe adapts the server's limit and suspends one that keeps failing.
+func (s *server) observe(now time.Time, r encoder.Release) {
+	if r.Failed {
+		s.failures++
+		if s.failures >= failuresToSuspend {
+			s.suspension = min(max(s.suspension*2, minSuspend), maxSuspend)
+			s.suspendedTill = now.Add(s.suspension)
+		}
+		return
+	}
+	s.failures = 0
+	s.suspension = 0
+	if now.Before(s.adaptAt) {
+		return
+	}
+	first := time.Duration(r.FirstMillis) * time.Millisecond
+	between := time.Duration(r.BetweenMicros) * time.Microsecond
+	switch {
+	case between > betweenTarget || first > firstTarget:
+		s.limit = max(1, s.limit*slowdown)
+	case s.limit < float64(s.slots):
+		s.limit = min(float64(s.slots), s.limit+speedup)
+	default:
+		return
+	}
+	s.adaptAt = now.Add(adaptEvery)
+}
+
+// free returns how many slots the server could grant now.
+func (s *server) free(now time.Time) int {
+	if s.leaving || now.Before(s.readyAt) || now.Before(s.suspendedTill) {
+		return 0
+	}
+	n := int(s.limit) - len(s.holds)
+	if s.failures >= failuresToSuspend {
+		// After a suspension one request at a time finds out whether the server
+		// works again.
+		n = min(n, 1-len(s.holds))
+	}
+	return max(0, n)
+}
+
+// Free returns the free slots of a pool's servers.
+func (o *Owner) Free(now time.Time, pool uint32) int {
+	n := 0
+	for _, s := range o.servers {
+		if s.pool == pool {
+			n += s.free(now)
+		}
+	}
+	return n
+}
+
+// Schedule grants free slots until none is free or nobody waits.
+func (o *Owner) Schedule(now time.Time) []Grant {
+	var grants []Grant
+	for _, pool := range o.waitingPools() {
+		for {
+			g, ok := o.grant(now, pool)
+			if !ok {
+				break
+			}
+			grants = append(grants, g)
+		}
+	}
+	return grants
+}
+
+func (o *Owner) waitingPools() []uint32 {
+	seen := map[uint32]bool{}
+	var pools []uint32
+	for k := range o.waiting {
+		if !seen[k.Pool] {
+			seen[k.Pool] = true
+			pools = append(pools, k.Pool)
+		}
+	}
+	slices.Sort(pools)
+	return pools
+}
+
+func (o *Owner) grant(now time.Time, pool uint32) (Grant, bool) {
+	k, ok := o.least(pool)
+	if !ok {
+		return Grant{}, false
+	}
+	router := o.mostUrgent(now, k)
+	s := o.roomiest(now, pool, o.zone(router))
+	if s == nil {
+		return Grant{}, false
+	}
+	reg := o.waiting[k][router]
+	o.Ticket++
+	s.holds[ticketKey{router: router, ticket: o.Ticket}] = hold{account: k, charge: reg.Cost}
+	o.Accounts.Charge(now, k, reg.Cost)
+	reg.Count--
+	o.Register(router, k, reg)
+	return Grant{
+		Router: router,
+		Offer:  encoder.Offer{Server: s.id, Ticket: o.Ticket, Workspace: k.Workspace, Charge: uint32(reg.Cost)},
+	}, true
+}
+
+// least returns the waiting account with the least weighted service.
+func (o *Owner) least(pool uint32) (Account, bool) {
+	var best Account
+	bestValue, found := 0.0, false
+	for k := range o.waiting {
+		if k.Pool != pool {
+			continue
+		}
+		v := o.Accounts.Value(k)
+		if !found || v < bestValue || v == bestValue && k.Workspace < best.Workspace {
+			best, bestValue, found = k, v, true
+		}
+	}
+	return best, found
+}
+
+// mostUrgent returns the router at which the account's most pressing request
+// waits.
+func (o *Owner) mostUrgent(now time.Time, k Account) string {
+	best, bestScore := "", -1.0
+	for router, r := range o.waiting[k] {
+		s := queuer.Score(r.Urgency, max(0, now.Sub(r.Since)))
+		if s > bestScore || s == bestScore && router < best {
+			best, bestScore = router, s
+		}
+	}
+	return best
+}
+
+// roomiest returns the server with the largest share of free slots, first among
+// those in the zone.
+func (o *Owner) roomiest(now time.Time, pool uint32, zone string) *server {
+	var best *server
+	better := func(a, b *server) int {
+		if c := cmp.Compare(boolRank(a.zone == zone), boolRank(b.zone == zone)); c != 0 {
+			return c
+		}
+		fa, fb := float64(a.free(now))/a.limit, float64(b.free(now))/b.limit
+		if c := cmp.Compare(fa, fb); c != 0 {
+			return c
+		}
+		return cmp.Compare(b.id, a.id)
+	}
+	for _, s := range o.servers {
+		if s.pool != pool || s.free(now) == 0 {
+			continue
+		}
+		if best == nil || better(s, best) > 0 {
+			best = s
+		}
+	}
+	return best
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (o *Owner) zone(router string) string {
+	if o.ZoneOf == nil {
+		return ""
+	}
+	return o.ZoneOf(router)
+}
+
+// ServerState is one owned server in a dump.
+type ServerState struct {
+	Server    uint32    `json:"server" yaml:"server"`
+	Slots     int       `json:"slots" yaml:"slots"`
+	Limit     float64   `json:"limit" yaml:"limit"`
+	Held      int       `json:"held" yaml:"held"`
+	Leaving   bool      `json:"leaving" yaml:"leaving"`
+	Suspended time.Time `json:"suspended-till,omitzero" yaml:"suspended-till,omitempty"`
+}
+
+// Dump lists the owned servers by identifier.
+func (o *Owner) Dump() []ServerState {
+	var out []ServerState
+	for _, s := range o.servers {
+		out = append(out, ServerState{
+			Server: s.id, Slots: s.slots, Limit: s.limit, Held: len(s.holds),
+			Leaving: s.leaving, Suspended: s.suspendedTill,
+		})
+	}
+	slices.SortFunc(out, func(a, b ServerState) int { return cmp.Compare(a.Server, b.Server) })
+	return out
+}
--- /dev/null
+++ b/internal/linker/linker.go
@@ -0,0 +1,298 @@
+// Package linker wraps network connections: it counts their bytes, and for
+// experiments it gives links a delay and loss, cuts them, and makes established
+// connections go silent while new ones work.
+package linker
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Counter counts the bytes of a set of connections.
+type Counter struct {
+	In  atomic.Int64
+	Out atomic.Int64
+}
+
+// Total returns the bytes in both directions.
+func (c *Counter) Total() int64 { return c.In.Load() + c.Out.Load() }
+
+type countedConn struct {
+	net.Conn
+	counter *Counter
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.In.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.Out.Add(int64(n))
+	return n, err
+}
+
+// Count wraps a connection so that its bytes are counted.
+func Count(conn net.Conn, counter *Counter) net.Conn {
+	return countedConn{Conn: conn, counter: counter}
+}
+
+type countedListener struct {
+	net.Listener
+	counter *Counter
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return Count(conn, l.counter), nil
+}
+
+// CountListener counts the bytes of all connections that a listener accepts.
+func CountListener(l net.Listener, counter *Counter) net.Listener {
+	return countedListener{Listener: l, counter: counter}
+}
+
+// DialFunc opens a connection, like net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// pollEvery is how often a stalled connection looks whether it is released.
+const pollEvery = 5 * time.Millisecond
+
+// retransmit is the delay that a lost packet costs, as TCP repeats it.
+const retransmit = 200 * time.Millisecond
+
+// pending bounds the chunks on their way in one direction of a link.
+const pending = 1024
+
+// Endpoint is one end of links: a process with a name in a zone.
+type Endpoint struct {
+	Name             string
+	AvailabilityZone string
+}
+
+// Link gives a link's properties.
+type Link struct {
+	Delay time.Duration
+	// Loss is the probability that a packet has to be sent again.
+	Loss float64
+}
+
+// Network is a set of endpoints whose links have properties. It serves
+// experiments in one process; the zero value has perfect links.
+type Network struct {
+	// Between returns the properties of the link between two zones; nil means
+	// perfect links.
+	Between func(zoneA, zoneB string) Link
+
+	mu        sync.Mutex
+	endpoints map[string]Endpoint
+	cut       map[[2]string]bool
+	conns     map[*linkConn]struct{}
+}
+
+// Register names the endpoint that listens at an address.
+func (n *Network) Register(address string, e Endpoint) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.endpoints == nil {
+		n.endpoints = map[string]Endpoint{}
+	}
+	n.endpoints[address] = e
+}
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// Cut stalls or releases all traffic between two endpoints, both ways. New
+// connections between them are not made.
+func (n *Network) Cut(a, b string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut == nil {
+		n.cut = map[[2]string]bool{}
+	}
+	n.cut[pair(a, b)] = on
+}
+
+func (n *Network) isCut(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[pair(a, b)]
+}
+
+// Silence makes every established connection to an endpoint silent for good.
+func (n *Network) Silence(to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.to == to {
+			c.silent.Store(true)
+		}
+	}
+}
+
+// Dialer returns the dial function of an endpoint.
+func (n *Network) Dialer(from Endpoint) DialFunc {
+	var d net.Dialer
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		n.mu.Lock()
+		to, known := n.endpoints[address]
+		n.mu.Unlock()
+		if !known {
+			return d.DialContext(ctx, network, address)
+		}
+		link := Link{}
+		if n.Between != nil {
+			link = n.Between(from.AvailabilityZone, to.AvailabilityZone)
+		}
+		if err := n.handshake(ctx, from, to, link); err != nil {
+			return nil, err
+		}
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return n.wrap(conn, from.Name, to.Name, link), nil
+	}
+}
+
+// handshake waits as long as TCP's would: one round trip, or for good while
+// the link is cut.
+func (n *Network) handshake(ctx context.Context, from, to Endpoint, link Link) error {
+	if err := sleep(ctx, 2*link.Delay); err != nil {
+		return err
+	}
+	for n.isCut(from.Name, to.Name) {
+		if err := sleep(ctx, pollEvery); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// linkConn joins a real connection to the near end that the caller uses.
+type linkConn struct {
+	network  *Network
+	from, to string
+	link     Link
+	far      net.Conn
+	near     net.Conn
+	silent   atomic.Bool
+	closed   chan struct{}
+	once     sync.Once
+}
+
+type chunk struct {
+	due  time.Time
+	data []byte
+}
+
+func (n *Network) wrap(conn net.Conn, from, to string, link Link) net.Conn {
+	near, inner := net.Pipe()
+	c := &linkConn{network: n, from: from, to: to, link: link, far: conn, near: inner, closed: make(chan struct{})}
+	n.mu.Lock()
+	if n.conns == nil {
+		n.conns = map[*linkConn]struct{}{}
+	}
+	n.conns[c] = struct{}{}
+	n.mu.Unlock()
+	go c.pump(c.near, c.far)
+	go c.pump(c.far, c.near)
+	return near
+}
+
+// pump carries one direction: a reader stamps the chunks, a writer delivers
+// each when it is due and the link works.
+func (c *linkConn) pump(src, dst net.Conn) {
+	ch := make(chan chunk, pending)
+	go func() {
+		defer close(ch)
+		for {
+			buf := make([]byte, 16<<10)
+			n, err := src.Read(buf)
+			if n > 0 {
+				select {
+				case ch <- chunk{due: time.Now().Add(c.delay()), data: buf[:n]}:
+				case <-c.closed:
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for k := range ch {
+		if !c.await(k.due) {
+			break
+		}
+		if _, err := dst.Write(k.data); err != nil {
+			break
+		}
+	}
+	c.close()
+}
+
+func (c *linkConn) delay() time.Duration {
+	d := c.link.Delay
+	if c.link.Loss > 0 && rand.Float64() < c.link.Loss {
+		d += retransmit
+	}
+	return d
+}
+
+// await returns true when the chunk may be delivered, false when the
+// connection was closed before.
+func (c *linkConn) await(due time.Time) bool {
+	wait := time.Until(due)
+	for {
+		if wait > 0 {
+			t := time.NewTimer(wait)
+			select {
+			case <-t.C:
+			case <-c.closed:
+				t.Stop()
+				return false
+			}
+		}
+		if !c.silent.Load() && !c.network.isCut(c.from, c.to) {
+			return true
+		}
+		wait = pollEvery
+	}
+}
+
+func (c *linkConn) close() {
+	c.once.Do(func() {
+		close(c.closed)
+		c.far.Close()
+		c.near.Close()
+		c.network.mu.Lock()
+		delete(c.network.conns, c)
+		c.network.mu.Unlock()
+	})
+}
--- /dev/null
+++ b/internal/scheduler/plain.go
@@ -0,0 +1,123 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"papayapaddle/internal/encoder"
+	"papayapaddle/internal/failer"
+	"papayapaddle/internal/placer"
+	"papayapaddle/internal/queuer"
+)
+
+// Plain is the baseline that measurements compare with: each router alone, its
+// static part of the slots, first come first served, servers in turn. It is no
+// choice for operators.
+type Plain struct {
+	Limits queuer.Limits
+
+	mu      sync.Mutex
+	servers map[uint32][]Server
+	slots   map[uint32]int
+	used    map[uint32]int
+	next    map[uint32]int
+	waiting map[uint32][]*plainWaiter
+	count   int
+	pools   map[SlotID]uint32
+	ticket  uint32
+}
+
+type plainWaiter struct {
+	ch       chan decision
+	deadline time.Time
+}
+
+// SetView installs the servers and this router's part of their slots.
+func (p *Plain) SetView(v View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.used == nil {
+		p.used, p.next = map[uint32]int{}, map[uint32]int{}
+		p.waiting, p.pools = map[uint32][]*plainWaiter{}, map[SlotID]uint32{}
+	}
+	p.servers, p.slots = map[uint32][]Server{}, map[uint32]int{}
+	for _, s := range v.Servers {
+		if !s.Leaving {
+			p.servers[s.Pool] = append(p.servers[s.Pool], s)
+			p.slots[s.Pool] += s.Slots
+		}
+	}
+	for pool, n := range p.slots {
+		p.slots[pool] = max(1, n/max(1, len(v.Routers)))
+		p.start(pool)
+	}
+}
+
+// Acquire waits for a slot in the order of arrival.
+func (p *Plain) Acquire(ctx context.Context, r Request) (Slot, error) {
+	w := &plainWaiter{ch: make(chan decision, 1), deadline: r.Deadline}
+	p.mu.Lock()
+	if p.count >= p.Limits.Requests {
+		p.mu.Unlock()
+		return Slot{}, failer.Wrap("acquire", KindRefused, &RefusedError{
+			Refusal: Refusal{Reason: ReasonOverloaded, RetryAfter: time.Second},
+		})
+	}
+	p.count++
+	p.waiting[r.Key.Pool] = append(p.waiting[r.Key.Pool], w)
+	p.start(r.Key.Pool)
+	p.mu.Unlock()
+	select {
+	case d := <-w.ch:
+		return d.result()
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	select {
+	case d := <-w.ch:
+		p.mu.Unlock()
+		slot, _ := d.result()
+		p.Release(slot, encoder.Release{})
+	default:
+		w.ch = nil
+		p.mu.Unlock()
+	}
+	return Slot{}, failer.Wrap("acquire", KindCanceled, ctx.Err())
+}
+
+// start hands free slots to the oldest waiters.
+func (p *Plain) start(pool uint32) {
+	for p.used[pool] < p.slots[pool] && len(p.waiting[pool]) > 0 {
+		w := p.waiting[pool][0]
+		p.waiting[pool] = p.waiting[pool][1:]
+		p.count--
+		if w.ch == nil {
+			continue
+		}
+		servers := p.servers[pool]
+		s := servers[p.next[pool]%len(servers)]
+		p.next[pool]++
+		p.used[pool]++
+		p.ticket++
+		id := SlotID{Server: placer.ID(s.Name), Ticket: p.ticket}
+		p.pools[id] = pool
+		w.ch <- decision{start: &Start{Slot: id, Server: s.Name}}
+	}
+}
+
+// Release gives a slot back.
+func (p *Plain) Release(s Slot, _ encoder.Release) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool, ok := p.pools[s.ID]
+	if !ok {
+		return
+	}
+	delete(p.pools, s.ID)
+	p.used[pool]--
+	p.start(pool)
+}
+
+// Progress is not used by the baseline.
+func (p *Plain) Progress(Slot, uint32) {}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,237 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"papayapaddle/internal/accountant"
+	"papayapaddle/internal/encoder"
+	"papayapaddle/internal/failer"
+	"papayapaddle/internal/queuer"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// The kinds of error; in each the request did not run.
+const (
+	KindRefused  Kind = "refused"
+	KindCanceled Kind = "canceled"
+	KindStopped  Kind = "stopped"
+)
+
+// Error is the error type of this package.
+type Error = failer.Error[Kind]
+
+// RefusedError is the cause of an error of KindRefused.
+type RefusedError struct{ Refusal Refusal }
+
+// Error prints the reason.
+func (e *RefusedError) Error() string { return string(e.Refusal.Reason) }
+
+// tickEvery is the period of Core.Tick.
+const tickEvery = 50 * time.Millisecond
+
+// Request asks for a slot.
+type Request struct {
+	Key      Key
+	Urgency  uint8
+	Deadline time.Time
+	Cost     float64
+	Bytes    int
+	// Arrived is when the request was accepted; a retry keeps its place with it.
+	Arrived time.Time
+}
+
+// Slot is the right to run one request on a backend server.
+type Slot struct {
+	ID     SlotID
+	Server string
+}
+
+// Scheduler drives a Core. Core must be set before use, and Wake before peers
+// are known. It is safe for concurrent use.
+type Scheduler struct {
+	// Wake is told which peers have something to be said now.
+	Wake func(peer string)
+
+	mu      sync.Mutex
+	Core    Core
+	nextID  uint64
+	waiters map[uint64]chan decision
+}
+
+// decision is a start or a refusal.
+type decision struct {
+	start   *Start
+	refusal *Refusal
+}
+
+// Run ticks until the context ends.
+func (s *Scheduler) Run(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			s.do(func(now time.Time, c *Core) { c.Tick(now) })
+		}
+	}
+}
+
+// do runs one event under the lock and hands out what came of it.
+func (s *Scheduler) do(f func(now time.Time, c *Core)) {
+	s.mu.Lock()
+	now := time.Now()
+	f(now, &s.Core)
+	s.deliver(s.Core.Take())
+	var wake []string
+	for _, fl := range s.Core.Flushes() {
+		if !now.Before(fl.At) {
+			wake = append(wake, fl.Peer)
+		}
+	}
+	s.mu.Unlock()
+	if s.Wake == nil {
+		return
+	}
+	for _, p := range wake {
+		s.Wake(p)
+	}
+}
+
+func (s *Scheduler) deliver(out Output) {
+	for i := range out.Starts {
+		s.tell(out.Starts[i].Request, decision{start: &out.Starts[i]})
+	}
+	for i := range out.Refusals {
+		s.tell(out.Refusals[i].Request, decision{refusal: &out.Refusals[i]})
+	}
+}
+
+func (s *Scheduler) tell(request uint64, d decision) {
+	ch := s.waiters[request]
+	delete(s.waiters, request)
+	if ch != nil {
+		ch <- d
+	}
+}
+
+// Acquire waits for a slot. It fails with KindRefused when the request is shed
+// or cannot meet its deadline, and with KindCanceled when the context ends.
+func (s *Scheduler) Acquire(ctx context.Context, r Request) (Slot, error) {
+	ch := make(chan decision, 1)
+	var id uint64
+	s.do(func(now time.Time, c *Core) {
+		if s.waiters == nil {
+			s.waiters = map[uint64]chan decision{}
+		}
+		s.nextID++
+		id = s.nextID
+		s.waiters[id] = ch
+		c.Submit(now, &queuer.Item{
+			ID: id, Key: r.Key, Urgency: r.Urgency, Arrived: r.Arrived,
+			Deadline: r.Deadline, Cost: r.Cost, Bytes: r.Bytes,
+		})
+	})
+	select {
+	case d := <-ch:
+		return d.result()
+	case <-ctx.Done():
+	}
+	canceled := false
+	s.do(func(now time.Time, c *Core) {
+		canceled = c.Cancel(now, r.Key, id)
+		if canceled {
+			delete(s.waiters, id)
+		}
+	})
+	if !canceled {
+		// The decision was made meanwhile and is in the channel.
+		if slot, err := (<-ch).result(); err == nil {
+			s.Release(slot, encoder.Release{})
+		}
+	}
+	return Slot{}, failer.Wrap("acquire", KindCanceled, ctx.Err())
+}
+
+func (d decision) result() (Slot, error) {
+	if d.refusal != nil {
+		return Slot{}, failer.Wrap("acquire", KindRefused, &RefusedError{Refusal: *d.refusal})
+	}
+	return Slot{ID: d.start.Slot, Server: d.start.Server}, nil
+}
+
+// Release settles a slot; see Core.Finish.
+func (s *Scheduler) Release(slot Slot, r encoder.Release) {
+	s.do(func(now time.Time, c *Core) { c.Finish(now, slot.ID, r) })
+}
+
+// Progress notes the cost so far of a running request.
+func (s *Scheduler) Progress(slot Slot, cost uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Core.Progress(slot.ID, cost)
+}
+
+// SetView installs a new view of the fleet.
+func (s *Scheduler) SetView(v View) {
+	s.do(func(now time.Time, c *Core) { c.SetView(now, v) })
+}
+
+// Receive handles a peer's message and returns the reply.
+func (s *Scheduler) Receive(from accountant.Source, m *encoder.Message) encoder.Message {
+	var reply encoder.Message
+	s.do(func(now time.Time, c *Core) { reply = c.Receive(now, from, m) })
+	return reply
+}
+
+// Absorb handles the reply to an own message.
+func (s *Scheduler) Absorb(from accountant.Source, m *encoder.Message) {
+	s.do(func(now time.Time, c *Core) { c.Absorb(now, from, m) })
+}
+
+// Drain returns what there is to say to a peer.
+func (s *Scheduler) Drain(peer string) encoder.Message {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Core.Drain(time.Now(), peer)
+}
+
+// SendFailed takes back a message that may not have arrived.
+func (s *Scheduler) SendFailed(peer string, m *encoder.Message) {
+	s.do(func(now time.Time, c *Core) { c.SendFailed(now, peer, m) })
+}
+
+// PeerUp notes a new connection to a peer.
+func (s *Scheduler) PeerUp(peer string) {
+	s.do(func(now time.Time, c *Core) { c.PeerUp(now, peer) })
+}
+
+// PeerDown notes that a peer cannot be reached.
+func (s *Scheduler) PeerDown(peer string) {
+	s.do(func(now time.Time, c *Core) { c.PeerDown(now, peer) })
+}
+
+// Forget drops all that is kept of a peer that has left the fleet.
+func (s *Scheduler) Forget(peer string) {
+	s.do(func(now time.Time, c *Core) { c.Forget(now, peer) })
+}
+
+// Dump returns the state for operators.
+func (s *Scheduler) Dump() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Core.Dump(time.Now())
+}
+
+// Load returns the waiting requests, their bytes and the held slots.
+func (s *Scheduler) Load() (requests, bytes, held int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	requests, bytes = s.Core.QueueLen()
+	return requests, bytes, s.Core.Held()
+}
