Fix the accounts' home: a known source's echo no longer undoes corrections

Cause: a home took the larger of its own sum and the reporter's echo. An echo is older than corrections downwards by other owners, so each over-estimate that one owner took back came back with the next report of another: accounts grew by refunds, and workspaces with unlucky estimates were starved. Ruled out: prompt tokens in the charge (the same for all), sampling. Change: only a source that reports for the first time has its echo looked at. Also: the load and the experiments themselves.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -59,13 +59,14 @@
 	a.reportedAt = now
 	b, known := a.bases[from]
 	if !known {
-		// A source without a base says itself what its echo contained.
+		// The source reports here for the first time. Its echo rebuilds a home
+		// that was lost. A known source's echo is never looked at: it may be older
+		// than a correction downwards by another source, and would undo it.
 		b.total = r.EchoTotal
+		a.value = max(a.value, r.Echo)
 	}
 	if !known || r.Seq > b.seq {
-		added := a.value + r.Total - b.total
-		echoed := r.Echo + r.Total - r.EchoTotal
-		a.value = max(0, added, echoed)
+		a.value = max(0, a.value+r.Total-b.total)
 		a.bases[from] = base{seq: r.Seq, total: r.Total}
 		a.lift(now, r)
 	}
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -154,6 +154,15 @@
 // Ready returns why the router is not ready, or nil.
 func (r *Router) Ready() error { return r.node.ready() }
 
+// Waiting returns the number of requests that wait for a slot.
+func (r *Router) Waiting() int {
+	if r.node.plain != nil {
+		return r.node.plain.Waiting()
+	}
+	n, _, _ := r.node.scheduler.Load()
+	return n
+}
+
 // Version returns the configuration version in force.
 func (r *Router) Version() uint64 { return r.node.installer.Version() }
 
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -41,6 +41,7 @@
 		Commands: []*cli.Command{
 			routerCommand(logger),
 			demoCommand(out, logger),
+			measureCommand(out, logger),
 		},
 	}
 }
--- /dev/null
+++ b/internal/commander/measure.go
@@ -0,0 +1,58 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"papayapaddle/internal/measurer"
+)
+
+// maxSeconds bounds one experiment.
+const maxSeconds = 45
+
+func measureCommand(out io.Writer, logger log.Logger) *cli.Command {
+	var names strings.Builder
+	for _, e := range measurer.Experiments() {
+		fmt.Fprintf(&names, "%-20s %s\n", e.Name, e.Usage)
+	}
+	return &cli.Command{
+		Name: "measure", Usage: "run one experiment on stand-ins and print its figures", ArgsUsage: "NAME",
+		Description: "Exits 1 if a bound is passed. Experiments:\n" + names.String(),
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of arrivals, costs and faults"},
+			&cli.IntFlag{Name: "routers", Value: 6, Usage: "number of routers"},
+			&cli.IntFlag{Name: "seconds", Value: 30, Usage: "length of the load, at most 45"},
+			&cli.BoolFlag{Name: "baseline", Usage: "run the plain policy instead: each router alone, first come first served"},
+			&cli.BoolFlag{Name: "log", Usage: "print the routers' logs"},
+			&cli.StringFlag{Name: "format", Value: "text", Usage: "text or json"},
+		},
+		OnUsageError: usageError,
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return fmt.Errorf("measure takes the name of one experiment; see papayapaddle measure --help")
+			}
+			seconds, routers, format := c.Int("seconds"), c.Int("routers"), c.String("format")
+			switch {
+			case seconds < 1 || seconds > maxSeconds:
+				return fmt.Errorf("--seconds %d: use 1 to %d", seconds, maxSeconds)
+			case routers < 1:
+				return fmt.Errorf("--routers %d: use 1 or more", routers)
+			case format != "text" && format != "json":
+				return fmt.Errorf("--format %q: use text or json", format)
+			}
+			o := measurer.Options{
+				Seed: c.Uint64("seed"), Routers: routers, Length: time.Duration(seconds) * time.Second, Baseline: c.Bool("baseline"),
+			}
+			if c.Bool("log") {
+				o.Logger = logger
+			}
+			return measurer.Run(ctx, c.Args().First(), o, out, format == "json")
+		},
+	}
+}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -82,6 +82,8 @@
 // Link gives a link's properties.
 type Link struct {
 	Delay time.Duration
+	// Jitter is the most that is added to the delay of a packet.
+	Jitter time.Duration
 	// Loss is the probability that a packet has to be sent again.
 	Loss float64
 }
@@ -259,6 +261,9 @@
 
 func (c *linkConn) delay() time.Duration {
 	d := c.link.Delay
+	if c.link.Jitter > 0 {
+		d += rand.N(c.link.Jitter)
+	}
 	if c.link.Loss > 0 && rand.Float64() < c.link.Loss {
 		d += retransmit
 	}
--- a/internal/scheduler/plain.go
+++ b/internal/scheduler/plain.go
@@ -121,3 +121,10 @@
 
 // Progress is not used by the baseline.
 func (p *Plain) Progress(Slot, uint32) {}
+
+// Waiting returns the number of waiting requests.
+func (p *Plain) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.count
+}
