Encode account reports compactly and only when they are due

Cause: in a backlog 78 bytes for each of 90 (owner, account) pairs a second were most of the control traffic: four floats of nine bytes, the pool repeated in each item, and the echo that only a new home needs. Change: whole units, grouped by pool, echo and floor only where they are used, a report after 100 units or two seconds; the configuration version only when the peer was not told.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -9,6 +9,7 @@
 package accountant
 
 import (
+	"math"
 	"time"
 
 	"papayapaddle/internal/encoder"
@@ -19,6 +20,11 @@
 	// backlogs. After it, the workspace is lifted to the least backlogged one,
 	// because idling must not save up service.
 	IdleGrace = 3 * time.Second
+	// ReportWithin is the longest time between two reports of an account that is
+	// backlogged or was charged.
+	ReportWithin = 2 * time.Second
+	// reportStep is the weighted service after which a report is due early.
+	reportStep = 100
 	// ForgetAfter bounds memory: an account without reports is dropped then.
 	ForgetAfter = 10 * time.Minute
 )
@@ -54,27 +60,26 @@
 }
 
 // Report takes one owner's count in and returns the fleet-wide value.
-func (h *Home) Report(now time.Time, from Source, r encoder.Report) encoder.Account {
-	a := h.account(Key{Pool: r.Pool, Workspace: r.Workspace})
+func (h *Home) Report(now time.Time, from Source, pool uint32, r encoder.Report) encoder.Account {
+	a := h.account(Key{Pool: pool, Workspace: r.Workspace})
 	a.reportedAt = now
 	b, known := a.bases[from]
 	if !known {
 		// The source reports here for the first time. Its echo rebuilds a home
 		// that was lost. A known source's echo is never looked at: it may be older
 		// than a correction downwards by another source, and would undo it.
-		b.total = r.EchoTotal
-		a.value = max(a.value, r.Echo)
+		b.total = float64(r.EchoTotal)
+		a.value = max(a.value, float64(r.Echo))
 	}
 	if !known || r.Seq > b.seq {
-		a.value = max(0, a.value+r.Total-b.total)
-		a.bases[from] = base{seq: r.Seq, total: r.Total}
+		a.value = max(0, a.value+float64(r.Total)-b.total)
+		a.bases[from] = base{seq: r.Seq, total: float64(r.Total)}
 		a.lift(now, r)
 	}
 	return encoder.Account{
-		Pool:      r.Pool,
 		Workspace: r.Workspace,
-		Value:     a.value,
-		Included:  a.bases[from].total,
+		Value:     uint64(a.value),
+		Included:  uint64(a.bases[from].total),
 	}
 }
 
@@ -86,7 +91,7 @@
 		return
 	}
 	if !now.Before(a.backloggedTill) {
-		a.value = max(a.value, r.Floor)
+		a.value = max(a.value, float64(r.Floor))
 	}
 	a.backloggedTill = now.Add(IdleGrace)
 }
@@ -117,12 +122,20 @@
 
 // account is an owner's part of one account.
 type account struct {
-	total     float64
-	value     float64
-	included  float64
-	seq       uint64
-	heard     bool
+	// total is what was charged here.
+	total float64
+	// value is the fleet-wide value last received, which includes `included` of
+	// total.
+	value    float64
+	included float64
+	seq      uint64
+	// home is the router that answered last; another one needs the echo.
+	home      string
 	changedAt time.Time
+	reportAt  time.Time
+	// floorTill is until when a floor is told, after the backlog began here.
+	floorTill    time.Time
+	backloggedAt time.Time
 }
 
 // Ledger is an owner's side of the accounts. The zero value is empty.
@@ -151,12 +164,6 @@
 	return a.value + a.total - a.included
 }
 
-// Heard says whether a home has answered for the account.
-func (l *Ledger) Heard(k Key) bool {
-	a := l.accounts[k]
-	return a != nil && a.heard
-}
-
 // Charge adds weighted service; a negative amount corrects an estimate.
 func (l *Ledger) Charge(now time.Time, k Key, weighted float64) {
 	a := l.account(k)
@@ -164,47 +171,60 @@
 	a.changedAt = now
 }
 
-// Due lists the accounts whose count the home has not confirmed.
-func (l *Ledger) Due() []Key {
+// Due lists the accounts that a report is due for: those charged by a good part
+// of a request since the last one at once, the others in turn.
+func (l *Ledger) Due(now time.Time) []Key {
 	var keys []Key
 	for k, a := range l.accounts {
-		if a.total != a.included || !a.heard {
+		moved := math.Abs(math.Floor(a.total) - a.included)
+		if moved >= reportStep || moved > 0 && !now.Before(a.reportAt) {
 			keys = append(keys, k)
 		}
 	}
 	return keys
 }
 
+// Stale says whether the account's fleet-wide value is older than the longest
+// time between two reports.
+func (l *Ledger) Stale(now time.Time, k Key) bool {
+	a := l.accounts[k]
+	return a == nil || !now.Before(a.reportAt)
+}
+
 // Report makes the report of an account for its home.
-func (l *Ledger) Report(k Key, floor float64, backlogged bool) encoder.Report {
+func (l *Ledger) Report(now time.Time, k Key, home string, floor float64, backlogged bool) encoder.Report {
 	a := l.account(k)
 	a.seq++
-	return encoder.Report{
-		Pool:       k.Pool,
-		Workspace:  k.Workspace,
-		Seq:        a.seq,
-		Total:      a.total,
-		EchoTotal:  a.included,
-		Echo:       a.value,
-		Floor:      floor,
-		Backlogged: backlogged,
+	a.reportAt = now.Add(ReportWithin)
+	r := encoder.Report{Workspace: k.Workspace, Seq: a.seq, Total: uint64(a.total), Backlogged: backlogged}
+	if backlogged {
+		if now.Sub(a.backloggedAt) > IdleGrace/2 {
+			a.floorTill = now.Add(2 * IdleGrace)
+		}
+		a.backloggedAt = now
+	}
+	if backlogged && now.Before(a.floorTill) {
+		r.Floor = uint64(floor)
+	}
+	if home != a.home {
+		r.Echo, r.EchoTotal = uint64(a.value), uint64(a.included)
 	}
+	return r
 }
 
 // Install takes a home's answer in. An answer that includes less than an
-// earlier one may still be newer, since corrections are negative; homes answer
-// in order on one connection, so the last one wins.
-func (l *Ledger) Install(a encoder.Account) {
-	acc := l.account(Key{Pool: a.Pool, Workspace: a.Workspace})
-	acc.value = a.Value
-	acc.included = a.Included
-	acc.heard = true
+// earlier one may still be newer, since corrections are negative.
+func (l *Ledger) Install(home string, pool uint32, a encoder.Account) {
+	acc := l.account(Key{Pool: pool, Workspace: a.Workspace})
+	acc.value = float64(a.Value)
+	acc.included = float64(a.Included)
+	acc.home = home
 }
 
 // Expire drops confirmed accounts that have not changed for ForgetAfter.
 func (l *Ledger) Expire(now time.Time) {
 	for k, a := range l.accounts {
-		if now.Sub(a.changedAt) > ForgetAfter && a.total == a.included {
+		if now.Sub(a.changedAt) > ForgetAfter && math.Floor(a.total) == a.included {
 			delete(l.accounts, k)
 		}
 	}
--- a/internal/assembler/gossip.go
+++ b/internal/assembler/gossip.go
@@ -16,6 +16,8 @@
 	mu sync.Mutex
 	// want holds the peers that have a newer configuration.
 	want map[string]bool
+	// told holds the configuration version that a peer was told of.
+	told map[string]uint64
 	// leaving holds the tombstones that a peer has not been told.
 	leaving map[string][]encoder.Leaving
 }
@@ -57,14 +59,23 @@
 	m.WantChanges = g.want[peer]
 	delete(g.want, peer)
 	g.mu.Unlock()
+	if m.WantChanges {
+		m.ConfigVersion = g.node.installer.Version()
+	}
 	return m
 }
 
 func (g *gossip) add(peer string, m *encoder.Message) {
-	m.ConfigVersion = g.node.installer.Version()
 	m.Stopping = g.node.draining.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if v := g.node.installer.Version(); g.told[peer] != v {
+		m.ConfigVersion = v
+		if g.told == nil {
+			g.told = map[string]uint64{}
+		}
+		g.told[peer] = v
+	}
 	m.Leaving = append(m.Leaving, g.leaving[peer]...)
 	delete(g.leaving, peer)
 }
@@ -114,6 +125,9 @@
 }
 
 func (g *gossip) sendFailed(peer string, m *encoder.Message) {
+	g.mu.Lock()
+	delete(g.told, peer)
+	g.mu.Unlock()
 	if len(m.Leaving) > 0 {
 		g.queueLeaving(peer, m.Leaving)
 	}
@@ -121,6 +135,9 @@
 }
 
 func (g *gossip) up(peer string) {
+	g.mu.Lock()
+	delete(g.told, peer)
+	g.mu.Unlock()
 	if ls := g.node.tracker.Tombstones(); len(ls) > 0 {
 		g.queueLeaving(peer, ls)
 	}
@@ -140,6 +157,7 @@
 	g.mu.Lock()
 	delete(g.want, peer)
 	delete(g.leaving, peer)
+	delete(g.told, peer)
 	g.mu.Unlock()
 	g.node.scheduler.Forget(peer)
 }
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -163,14 +164,24 @@
 	return m, nil
 }
 
+// The ports of routers lie below those that the system takes for outgoing
+// connections, which would take one while it is free for a moment.
+const (
+	firstPort = 20_000
+	portCount = 12_000
+)
+
 // freeAddress finds a loopback port that nothing listens on.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		var l net.Listener
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if l, err = net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // StartMember starts a router, or a new process in the place of one that ended.
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -54,19 +54,20 @@
 
 // Message is one exchange between two routers; its reply is a Message too.
 type Message struct {
-	// ConfigVersion is the sender's installed configuration version.
+	// ConfigVersion is the sender's installed configuration version, or 0 if the
+	// receiver was told of it before.
 	ConfigVersion uint64 `msgpack:"v,omitempty"`
 	// Sync says that Registers and Held are the sender's whole state towards
 	// the receiver as an owner, and replace what it knew.
-	Sync      bool       `msgpack:"y,omitempty"`
-	Registers []Register `msgpack:"g,omitempty"`
-	Releases  []Release  `msgpack:"r,omitempty"`
-	Offers    []Offer    `msgpack:"o,omitempty"`
-	Held      []Held     `msgpack:"h,omitempty"`
-	Reports   []Report   `msgpack:"a,omitempty"`
-	Accounts  []Account  `msgpack:"b,omitempty"`
-	Idle      []Idle     `msgpack:"i,omitempty"`
-	Leaving   []Leaving  `msgpack:"l,omitempty"`
+	Sync      bool           `msgpack:"y,omitempty"`
+	Registers []Register     `msgpack:"g,omitempty"`
+	Releases  []Release      `msgpack:"r,omitempty"`
+	Offers    []Offer        `msgpack:"o,omitempty"`
+	Held      []Held         `msgpack:"h,omitempty"`
+	Reports   []PoolReports  `msgpack:"a,omitempty"`
+	Accounts  []PoolAccounts `msgpack:"b,omitempty"`
+	Idle      []Idle         `msgpack:"i,omitempty"`
+	Leaving   []Leaving      `msgpack:"l,omitempty"`
 	// WantChanges asks for the configuration changes after ConfigVersion.
 	WantChanges bool `msgpack:"w,omitempty"`
 	// Changes are JSON-encoded configuration changes or one snapshot.
@@ -130,36 +131,50 @@
 	Charge    uint32
 }
 
-// Report is an owner's cumulative count for an account, sent to its home.
+// Report is an owner's cumulative count for an account, sent to its home. All
+// amounts are weighted service in whole units.
 type Report struct {
 	_msgpack  struct{} `msgpack:",as_array"`
-	Pool      uint32
 	Workspace uint32
 	// Seq grows with each report of one incarnation, so that a late or repeated
 	// one is known.
 	Seq uint64
 	// Total is the weighted service since the sender's start.
-	Total float64
-	// EchoTotal was the Total when Echo was received from a home.
-	EchoTotal float64
-	// Echo is the fleet-wide value last received, 0 if none.
-	Echo float64
-	// Floor is the least value among the other backlogged workspaces at the
-	// sender, to which a workspace that was idle is lifted.
-	Floor float64
+	Total uint64
 	// Backlogged says that the workspace waits at the sender.
 	Backlogged bool
+	// Floor is the least value among the other backlogged workspaces at the
+	// sender, to which a workspace that was idle is lifted. It is told in the
+	// first reports of a backlog.
+	Floor uint64
+	// Echo is the fleet-wide value last received and EchoTotal the Total that it
+	// contained. They are told to a home that has not answered yet.
+	Echo      uint64
+	EchoTotal uint64
 }
 
 // Account is the home's answer to a report.
 type Account struct {
 	_msgpack  struct{} `msgpack:",as_array"`
-	Pool      uint32
 	Workspace uint32
 	// Value is the fleet-wide weighted service.
-	Value float64
+	Value uint64
 	// Included is the receiver's Total that Value contains.
-	Included float64
+	Included uint64
+}
+
+// PoolReports groups reports by pool, as the pool is the same in most.
+type PoolReports struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Pool     uint32
+	Reports  []Report
+}
+
+// PoolAccounts groups accounts by pool.
+type PoolAccounts struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Pool     uint32
+	Accounts []Account
 }
 
 // Idle tells how many slots of a pool the sender has free with nobody waiting.
@@ -183,14 +198,18 @@
 	if n > MaxItems {
 		return failer.New("check message", KindInvalid, fmt.Sprintf("a list of %d items, at most %d are allowed", n, MaxItems))
 	}
-	for _, r := range m.Reports {
-		if !finite(r.Total, r.EchoTotal, r.Echo, r.Floor) {
-			return failer.New("check message", KindInvalid, "a report holds a value that is negative or no number")
+	for _, p := range m.Reports {
+		for _, r := range p.Reports {
+			if max(r.Total, r.Floor, r.Echo, r.EchoTotal) > maxValue {
+				return failer.New("check message", KindInvalid, "a report holds an amount out of range")
+			}
 		}
 	}
-	for _, a := range m.Accounts {
-		if !finite(a.Value, a.Included) {
-			return failer.New("check message", KindInvalid, "an account holds a value that is negative or no number")
+	for _, p := range m.Accounts {
+		for _, a := range p.Accounts {
+			if max(a.Value, a.Included) > maxValue {
+				return failer.New("check message", KindInvalid, "an account holds an amount out of range")
+			}
 		}
 	}
 	return nil
@@ -199,19 +218,3 @@
 // maxValue bounds account values; it is far above any real service count and
 // low enough that sums stay exact.
 const maxValue = 1 << 52
-
-func finite(vs ...float64) bool {
-	for _, v := range vs {
-		if !(v >= 0 && v <= maxValue) {
-			return false
-		}
-	}
-	return true
-}
-
-// Empty says that the message carries nothing but the configuration version.
-func (m *Message) Empty() bool {
-	return !m.Sync && !m.Stopping && !m.WantSync && !m.AskMe && !m.WantChanges && m.Snapshot == nil &&
-		len(m.Registers)+len(m.Releases)+len(m.Offers)+len(m.Held)+
-			len(m.Reports)+len(m.Accounts)+len(m.Idle)+len(m.Leaving)+len(m.Changes) == 0
-}
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -30,12 +30,16 @@
 		c.sync(now, from.Router, p)
 	}
 	c.absorbAsOwner(now, from.Router, m)
-	for _, r := range m.Reports {
-		p.out.Accounts = append(p.out.Accounts, c.home.Report(now, from, r))
-		c.flush(p, now.Add(LazyFlush))
+	for _, pr := range m.Reports {
+		for _, r := range pr.Reports {
+			p.out.Accounts = addAccount(p.out.Accounts, pr.Pool, c.home.Report(now, from, pr.Pool, r))
+			c.flush(p, now.Add(LazyFlush))
+		}
 	}
-	for _, a := range m.Accounts {
-		c.ledger.Install(a)
+	for _, pa := range m.Accounts {
+		for _, a := range pa.Accounts {
+			c.ledger.Install(from.Router, pa.Pool, a)
+		}
 	}
 	for _, i := range m.Idle {
 		p.idle[i.Pool] = int(i.Free)
@@ -182,34 +186,55 @@
 // report tells the accounts' homes what was charged here.
 func (c *Core) report(now time.Time) {
 	due := map[Key]bool{}
-	for _, k := range c.ledger.Due() {
+	for _, k := range c.ledger.Due(now) {
 		due[Key(k)] = true
 	}
 	for _, k := range c.owner.Registered() {
-		due[k] = true
+		if c.ledger.Stale(now, accountant.Key(k)) {
+			due[k] = true
+		}
 	}
 	for k := range due {
-		r := c.ledger.Report(accountant.Key(k), c.owner.Floor(k), c.owner.Backlogged(k))
 		home := placer.Owner(c.view.Routers, fmt.Sprintf("account/%d/%d", k.Pool, k.Workspace), "")
-		if home == c.Name || home == "" {
-			c.ledger.Install(c.home.Report(now, accountant.Source{Router: c.Name, Incarnation: c.Incarnation}, r))
+		if home == "" {
+			home = c.Name
+		}
+		r := c.ledger.Report(now, accountant.Key(k), home, c.owner.Floor(k), c.owner.Backlogged(k))
+		if home == c.Name {
+			own := accountant.Source{Router: c.Name, Incarnation: c.Incarnation}
+			c.ledger.Install(home, k.Pool, c.home.Report(now, own, k.Pool, r))
 			continue
 		}
 		p := c.peer(home)
-		p.out.Reports = putReport(p.out.Reports, r)
-		c.flush(p, now)
+		p.out.Reports = putReport(p.out.Reports, k.Pool, r)
+		c.flush(p, now.Add(LazyFlush))
 	}
 }
 
 // putReport replaces an unsent report of the same account.
-func putReport(rs []encoder.Report, r encoder.Report) []encoder.Report {
-	for i := range rs {
-		if rs[i].Pool == r.Pool && rs[i].Workspace == r.Workspace {
-			rs[i] = r
-			return rs
+func putReport(groups []encoder.PoolReports, pool uint32, r encoder.Report) []encoder.PoolReports {
+	i := slices.IndexFunc(groups, func(g encoder.PoolReports) bool { return g.Pool == pool })
+	if i < 0 {
+		return append(groups, encoder.PoolReports{Pool: pool, Reports: []encoder.Report{r}})
+	}
+	rs := groups[i].Reports
+	for j := range rs {
+		if rs[j].Workspace == r.Workspace {
+			rs[j] = r
+			return groups
 		}
 	}
-	return append(rs, r)
+	groups[i].Reports = append(rs, r)
+	return groups
+}
+
+func addAccount(groups []encoder.PoolAccounts, pool uint32, a encoder.Account) []encoder.PoolAccounts {
+	i := slices.IndexFunc(groups, func(g encoder.PoolAccounts) bool { return g.Pool == pool })
+	if i < 0 {
+		return append(groups, encoder.PoolAccounts{Pool: pool, Accounts: []encoder.Account{a}})
+	}
+	groups[i].Accounts = append(groups[i].Accounts, a)
+	return groups
 }
 
 // heartbeat makes sure that a peer with which this router shares work, and a
