Owners reckon with what the other owners grant at the same time

Cause: between two reports every owner sees the same least workspace and grants to it until its own charges lift it; six owners overshoot six-fold. Change: what is pending at this owner counts once for each owner of the pool, which costs no byte; the time charged ahead falls from two seconds to one.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -140,6 +140,9 @@
 
 // Ledger is an owner's side of the accounts. The zero value is empty.
 type Ledger struct {
+	// Owners is the number of owners that charge the same accounts.
+	Owners int
+
 	accounts map[Key]*account
 }
 
@@ -161,7 +164,18 @@
 	if a == nil {
 		return 0
 	}
-	return a.value + a.total - a.included
+	return a.value + l.pending(a)
+}
+
+// pending is what was charged since the value was received: here as counted, and
+// at the other owners presumably as much each, since all of them see the same
+// least workspace and grant to it until they hear of each other.
+func (l *Ledger) pending(a *account) float64 {
+	own := a.total - a.included
+	if own <= 0 {
+		return own
+	}
+	return own * float64(max(1, l.Owners))
 }
 
 // Charge adds weighted service; a negative amount corrects an estimate.
--- a/internal/assembler/gossip.go
+++ b/internal/assembler/gossip.go
@@ -14,8 +14,8 @@
 	node *node
 
 	mu sync.Mutex
-	// want holds the peers that have a newer configuration.
-	want map[string]bool
+	// newest holds the configuration version that a peer told of.
+	newest map[string]uint64
 	// told holds the configuration version that a peer was told of.
 	told map[string]uint64
 	// leaving holds the tombstones that a peer has not been told.
@@ -36,6 +36,10 @@
 
 // receive handles a peer's message and returns the reply.
 func (g *gossip) receive(from accountant.Source, m *encoder.Message) encoder.Message {
+	if m.WantSync || m.AskMe {
+		// The peer lost a connection, and with it what it was told in replies.
+		g.repeat(from.Router)
+	}
 	g.learn(from.Router, m)
 	reply := g.node.scheduler.Receive(from, m)
 	g.add(from.Router, &reply)
@@ -55,12 +59,12 @@
 func (g *gossip) drain(peer string) encoder.Message {
 	m := g.node.scheduler.Drain(peer)
 	g.add(peer, &m)
+	have := g.node.installer.Version()
 	g.mu.Lock()
-	m.WantChanges = g.want[peer]
-	delete(g.want, peer)
+	m.WantChanges = g.newest[peer] > have
 	g.mu.Unlock()
 	if m.WantChanges {
-		m.ConfigVersion = g.node.installer.Version()
+		m.ConfigVersion = have
 	}
 	return m
 }
@@ -99,14 +103,24 @@
 		return
 	}
 	g.mu.Lock()
-	if g.want == nil {
-		g.want = map[string]bool{}
+	if g.newest == nil {
+		g.newest = map[string]uint64{}
 	}
-	g.want[peer] = true
+	g.newest[peer] = max(g.newest[peer], m.ConfigVersion)
 	g.mu.Unlock()
 	n.exchanger.Wake(peer)
 }
 
+// repeat makes the next message to a peer say what it may have missed.
+func (g *gossip) repeat(peer string) {
+	g.mu.Lock()
+	delete(g.told, peer)
+	g.mu.Unlock()
+	if ls := g.node.tracker.Tombstones(); len(ls) > 0 {
+		g.queueLeaving(peer, ls)
+	}
+}
+
 // spreadLeaving tells all peers of tombstones that are new here.
 func (g *gossip) spreadLeaving(ls []encoder.Leaving) {
 	for peer := range g.node.tracker.Dump().Peers {
@@ -135,12 +149,7 @@
 }
 
 func (g *gossip) up(peer string) {
-	g.mu.Lock()
-	delete(g.told, peer)
-	g.mu.Unlock()
-	if ls := g.node.tracker.Tombstones(); len(ls) > 0 {
-		g.queueLeaving(peer, ls)
-	}
+	g.repeat(peer)
 	g.node.scheduler.PeerUp(peer)
 	g.node.tracker.SetReachable(peer, true)
 	g.node.log("peer-up", "peer", peer)
@@ -155,7 +164,7 @@
 // forget drops what is kept for a router that has left the list.
 func (g *gossip) forget(peer string) {
 	g.mu.Lock()
-	delete(g.want, peer)
+	delete(g.newest, peer)
 	delete(g.leaving, peer)
 	delete(g.told, peer)
 	g.mu.Unlock()
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -171,12 +172,17 @@
 	portCount = 12_000
 )
 
+// nextPort goes round the ports, so that one process hands none out twice.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(portCount)) }
+
 // freeAddress finds a loopback port that nothing listens on.
 func freeAddress() (string, error) {
 	var err error
 	for range 100 {
 		var l net.Listener
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
 		if l, err = net.Listen("tcp", address); err == nil {
 			return address, l.Close()
 		}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -276,7 +276,7 @@
 		c.result.Cost += cost
 	}
 	r.FirstMillis = uint32(st.FirstAfter.Milliseconds())
-	r.BetweenMicros = uint32(st.BetweenMean.Microseconds())
+	r.BetweenMillis = uint32(st.BetweenMean.Milliseconds())
 	c.d.Slots.Release(slot, r)
 }
 
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -100,14 +100,14 @@
 // Release gives a slot back and settles its cost.
 type Release struct {
 	_msgpack struct{} `msgpack:",as_array"`
-	Server   uint32
-	Ticket   uint32
+	// Ticket names the slot; the owner knows the server.
+	Ticket uint32
 	// Cost is the true cost; 0 hands the slot back unused.
 	Cost uint32
 	// FirstMillis is the time to the first token in ms, 0 if unknown.
 	FirstMillis uint32
-	// BetweenMicros is the mean time between tokens in µs, 0 if unknown.
-	BetweenMicros uint32
+	// BetweenMillis is the mean time between tokens in ms, 0 if unknown.
+	BetweenMillis uint32
 	// Failed says that the server did not answer as it should.
 	Failed bool
 }
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -31,7 +31,7 @@
 	// service by what is in flight and by the errors of the estimates; charging
 	// nothing ahead would give every free slot to one workspace until its first
 	// tokens are counted. docs/DESIGN.md has the figures.
-	ahead = 2 * time.Second
+	ahead = time.Second
 	// rateDecay is the weight that past requests keep in a pool's rate.
 	rateDecay = 0.95
 	// failuresToSuspend is how many failures in a row suspend a server.
@@ -311,12 +311,8 @@
 
 // Release settles a slot. A repeated release changes nothing.
 func (o *Owner) Release(now time.Time, router string, r encoder.Release) {
-	s := o.servers[r.Server]
-	if s == nil {
-		return
-	}
 	k := ticketKey{router: router, ticket: r.Ticket}
-	h, ok := s.holds[k]
+	s, h, ok := o.find(k)
 	if !ok {
 		return
 	}
@@ -331,6 +327,16 @@
 	s.observe(now, r)
 }
 
+// find returns the server of a held slot.
+func (o *Owner) find(k ticketKey) (*server, hold, bool) {
+	for _, s := range o.servers {
+		if h, ok := s.holds[k]; ok {
+			return s, h, true
+		}
+	}
+	return nil, hold{}, false
+}
+
 func (o *Owner) noteRate(pool uint32, cost float64, took time.Duration) {
 	if o.rates == nil {
 		o.rates = map[uint32]rate{}
@@ -386,7 +392,7 @@
 		return
 	}
 	first := time.Duration(r.FirstMillis) * time.Millisecond
-	between := time.Duration(r.BetweenMicros) * time.Microsecond
+	between := time.Duration(r.BetweenMillis) * time.Millisecond
 	switch {
 	case between > betweenTarget || first > firstTarget:
 		s.limit = max(1, s.limit*slowdown)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -224,6 +224,10 @@
 			})
 		}
 	}
+	c.ledger.Owners = 1
+	for _, owners := range c.owners {
+		c.ledger.Owners = max(c.ledger.Owners, len(owners))
+	}
 	c.owner.SetServers(now, owned, now.Add(TakeoverWait))
 }
 
@@ -454,7 +458,7 @@
 		it = c.queue.Pop(now, k)
 	}
 	if it == nil {
-		c.release(now, from, encoder.Release{Server: o.Server, Ticket: o.Ticket})
+		c.release(now, from, place.Pool, encoder.Release{Ticket: o.Ticket})
 		return
 	}
 	id := SlotID{Server: o.Server, Ticket: o.Ticket}
@@ -501,7 +505,7 @@
 }
 
 // release hands a slot back to an owner.
-func (c *Core) release(now time.Time, owner string, r encoder.Release) {
+func (c *Core) release(now time.Time, owner string, pool uint32, r encoder.Release) {
 	if owner == c.Name {
 		c.owner.Release(now, c.Name, r)
 		return
@@ -509,7 +513,7 @@
 	p := c.peer(owner)
 	p.out.Releases = append(p.out.Releases, r)
 	by := now
-	if p.idle[c.places[r.Server].Pool] > 0 {
+	if p.idle[pool] > 0 {
 		by = now.Add(LazyFlush)
 	}
 	c.flush(p, by)
@@ -521,9 +525,9 @@
 		return
 	}
 	delete(c.holds, id)
-	r.Server, r.Ticket = id.Server, id.Ticket
+	r.Ticket = id.Ticket
 	if place, ok := c.places[id.Server]; ok && place.owner != "" {
-		c.release(now, place.owner, r)
+		c.release(now, place.owner, place.Pool, r)
 	}
 	c.schedule(now)
 }
