Burst slots, and no wait at an owner that is known to be full

Cause 1: a request waited 100 ms at its own router's full servers before it asked the next owner, although asking itself costs nothing. Cause 2: in a flood all slots are held when another workspace's request comes. Change: an own full server does not count as asked; up to two more owners are asked at once while none told of idle slots; a declared number of burst slots beyond the limit is granted only to a workspace that holds less than another, for its weight. The engine slows down by the batch, its throughput stays.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -345,6 +345,7 @@
 	kv := []any{
 		"request", x.id, "workspace", req.Workspace.Name, "pool", req.Pool.Name, "kind", kind, "outcome", res.Outcome,
 		"server", res.Server, "attempts", res.Attempts, "cost", int(res.Cost), "millis", took.Milliseconds(),
+		"waited-millis", res.Waited.Milliseconds(), "first-millis", res.Stats.FirstAfter.Milliseconds(),
 	}
 	if res.Failure != nil {
 		kv = append(kv, "title", res.Failure.Title)
--- a/internal/assembler/lifecycle.go
+++ b/internal/assembler/lifecycle.go
@@ -225,6 +225,7 @@
 		metrics.GetOrRegisterCounter("replayed", n.metrics).Inc(1)
 	}
 	n.histogram("request-millis").Update(took.Milliseconds())
+	n.histogram("waited-millis").Update(res.Waited.Milliseconds())
 	if res.Stats.FirstAfter > 0 {
 		n.histogram("first-token-millis").Update(res.Stats.FirstAfter.Milliseconds())
 	}
--- a/internal/declarer/declarer.go
+++ b/internal/declarer/declarer.go
@@ -129,6 +129,10 @@
 	AvailabilityZone string `yaml:"availability-zone" json:"availability-zone"`
 	// Slots is the most concurrent requests that the server is given.
 	Slots int `yaml:"slots" json:"slots"`
+	// BurstSlots may be granted beyond Slots to a workspace that holds less than
+	// another, so that it does not wait for a flood's requests to end. The engine
+	// slows down in proportion meanwhile.
+	BurstSlots int `yaml:"burst-slots,omitempty" json:"burst-slots,omitempty"`
 	// ChecksFencing says that the server refuses an old fencing number.
 	ChecksFencing bool `yaml:"checks-fencing,omitempty" json:"checks-fencing,omitempty"`
 	// NotRunStatuses are the HTTP statuses by which the server states that it
@@ -228,6 +232,9 @@
 	if s.Slots < 1 || s.Slots > MaxSlots {
 		bad = append(bad, fmt.Sprintf("slots %d: use 1 to %d", s.Slots, MaxSlots))
 	}
+	if s.BurstSlots < 0 || s.BurstSlots > s.Slots {
+		bad = append(bad, fmt.Sprintf("burst-slots %d: use 0 to the number of slots", s.BurstSlots))
+	}
 	if !strings.Contains(s.Address, ":") {
 		bad = append(bad, fmt.Sprintf("address %q: give host:port", s.Address))
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -90,6 +90,8 @@
 	Stats    forwarder.StreamStats
 	Cost     float64
 	Server   string
+	// Waited is the time that the request waited for slots.
+	Waited time.Duration
 }
 
 const (
@@ -227,7 +229,9 @@
 
 // attempt runs the request once on one slot.
 func (c *call) attempt(ctx context.Context) error {
+	began := time.Now()
 	slot, err := c.d.Slots.Acquire(ctx, c.slotRequest())
+	c.result.Waited += time.Since(began)
 	if err != nil {
 		return err
 	}
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -12,10 +12,12 @@
 
 // Plan describes the stand-ins of one deployment.
 type Plan struct {
-	Zones    []string
-	Engines  int
-	Slots    int
-	Services int
+	Zones   []string
+	Engines int
+	Slots   int
+	// BurstSlots is declared for the engines.
+	BurstSlots int
+	Services   int
 	// ServiceSlots is the number of concurrent calls of one plain service.
 	ServiceSlots int
 	Speed        EngineSpeed
@@ -91,6 +93,9 @@
 	}
 	zone := h.plan.Zones[i%len(h.plan.Zones)]
 	s := declarer.BackendServer{Name: name, Pool: pool, Address: address, AvailabilityZone: zone, Slots: slots}
+	if pool == PoolModels {
+		s.BurstSlots = h.plan.BurstSlots
+	}
 	if pool == PoolBookings {
 		s.NotRunStatuses = []int{http.StatusTooManyRequests}
 	}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -85,6 +85,7 @@
 	pool     uint32
 	zone     string
 	slots    int
+	burst    int
 	limit    float64
 	holds    map[ticketKey]hold
 	leaving  bool
@@ -102,6 +103,9 @@
 	Pool             uint32
 	AvailabilityZone string
 	Slots            int
+	// BurstSlots are granted beyond Slots to workspaces that hold less than
+	// another.
+	BurstSlots int
 	// Leaving servers are granted no new work.
 	Leaving bool
 }
@@ -116,6 +120,8 @@
 // owns nothing.
 type Owner struct {
 	Accounts Accounts
+	// Weight returns the weight of a workspace; it must be set.
+	Weight func(workspace uint32) float64
 	// ZoneOf returns the availability zone of a router; nil knows none.
 	ZoneOf func(router string) string
 	// Ticket is the last ticket minted. An owner starts at a random number, so
@@ -157,6 +163,7 @@
 		s.pool = d.Pool
 		s.zone = d.AvailabilityZone
 		s.slots = d.Slots
+		s.burst = d.BurstSlots
 		s.leaving = d.Leaving
 		o.servers[d.ID] = s
 	}
@@ -404,12 +411,13 @@
 	s.adaptAt = now.Add(adaptEvery)
 }
 
-// free returns how many slots the server could grant now.
-func (s *server) free(now time.Time) int {
+// free returns how many slots the server could grant now; burst is 1 to count
+// its burst slots in.
+func (s *server) free(now time.Time, burst int) int {
 	if s.leaving || now.Before(s.readyAt) || now.Before(s.suspendedTill) {
 		return 0
 	}
-	n := int(s.limit) - len(s.holds)
+	n := int(s.limit) + burst*s.burst - len(s.holds)
 	if s.failures >= failuresToSuspend {
 		// After a suspension one request at a time finds out whether the server
 		// works again.
@@ -423,7 +431,7 @@
 	n := 0
 	for _, s := range o.servers {
 		if s.pool == pool {
-			n += s.free(now)
+			n += s.free(now, 0)
 		}
 	}
 	return n
@@ -463,7 +471,10 @@
 		return Grant{}, false
 	}
 	router := o.mostUrgent(now, k)
-	s := o.roomiest(now, pool, o.zone(router))
+	s := o.roomiest(now, pool, o.zone(router), 0)
+	if s == nil && o.holdsLess(k) {
+		s = o.roomiest(now, pool, o.zone(router), 1)
+	}
 	if s == nil {
 		return Grant{}, false
 	}
@@ -512,22 +523,43 @@
 	return best
 }
 
+// holdsLess says whether the account, with one slot more, still holds fewer
+// slots for its weight than some other one of the pool.
+func (o *Owner) holdsLess(k Account) bool {
+	held := map[Account]int{}
+	for _, s := range o.servers {
+		if s.pool != k.Pool {
+			continue
+		}
+		for _, h := range s.holds {
+			held[h.account]++
+		}
+	}
+	own := float64(held[k]+1) / o.Weight(k.Workspace)
+	for other, n := range held {
+		if float64(n)/o.Weight(other.Workspace) > own {
+			return true
+		}
+	}
+	return false
+}
+
 // roomiest returns the server with the largest share of free slots, first among
-// those in the zone.
-func (o *Owner) roomiest(now time.Time, pool uint32, zone string) *server {
+// those in the zone. Burst is 1 to count the burst slots in.
+func (o *Owner) roomiest(now time.Time, pool uint32, zone string, burst int) *server {
 	var best *server
 	better := func(a, b *server) int {
 		if c := cmp.Compare(boolRank(a.zone == zone), boolRank(b.zone == zone)); c != 0 {
 			return c
 		}
-		fa, fb := float64(a.free(now))/a.limit, float64(b.free(now))/b.limit
+		fa, fb := float64(a.free(now, burst))/a.limit, float64(b.free(now, burst))/b.limit
 		if c := cmp.Compare(fa, fb); c != 0 {
 			return c
 		}
 		return cmp.Compare(b.id, a.id)
 	}
 	for _, s := range o.servers {
-		if s.pool != pool || s.free(now) == 0 {
+		if s.pool != pool || s.free(now, burst) == 0 {
 			continue
 		}
 		if best == nil || better(s, best) > 0 {
--- a/internal/measurer/flooder.go
+++ b/internal/measurer/flooder.go
@@ -80,8 +80,11 @@
 		Cost: loader.LogUniform(leastTokens, mostTokens), HintError: 4,
 	})
 	run := loader.Start(ctx, plan)
+	time.Sleep(before + settle)
+	control := controlRate(d, o.Length-before-settle)
 	run.Wait()
-	return floodFigures(run, flooder), nil
+	fs := floodFigures(run, flooder)
+	return append(fs, figure("control-flood", control, "bytes/s").atMost(controlBound)), nil
 }
 
 // floodFigures compares the quiet phase 1 with phase 3 of the flood; phases 0
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -160,6 +160,7 @@
 const (
 	engines      = 20
 	engineSlots  = 4
+	engineBurst  = 1
 	services     = 3
 	serviceSlots = 16
 	zoneDelay    = 3500 * time.Microsecond
@@ -186,7 +187,7 @@
 	}}
 	d, err := demonstrator.Start(ctx, demonstrator.Options{
 		Plan: emulator.Plan{
-			Zones: zones, Engines: engines, Slots: engineSlots, Services: services, ServiceSlots: serviceSlots,
+			Zones: zones, Engines: engines, Slots: engineSlots, BurstSlots: engineBurst, Services: services, ServiceSlots: serviceSlots,
 			Speed: emulator.DefaultSpeed, ServiceWork: 20 * time.Millisecond, Seed: o.Seed, ListLag: time.Second,
 		},
 		Routers: o.Routers, Workspaces: workspaces(), Logger: o.Logger, Network: network, Plain: o.Baseline,
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -38,6 +38,9 @@
 const (
 	// maxTargets bounds the owners that a queue registers with.
 	maxTargets = 8
+	// maxExtra bounds the owners that a queue registers with beyond the first
+	// because others have no idle slot.
+	maxExtra = 2
 	// neighbours is the number of peers that get a heartbeat without having a
 	// registration or slot in common.
 	neighbours = 8
@@ -59,6 +62,7 @@
 	Pool             uint32
 	AvailabilityZone string
 	Slots            int
+	BurstSlots       int
 	Leaving          bool
 }
 
@@ -174,6 +178,7 @@
 	c.queue.Limits = c.Limits
 	c.queue.Weight = c.weight
 	c.owner.Ticket = c.FirstTicket
+	c.owner.Weight = c.weight
 	c.owner.ZoneOf = func(router string) string { return c.zones[router] }
 	c.owner.Accounts = granter.Accounts{
 		Value: func(k Key) float64 { return c.ledger.Value(accountant.Key(k)) },
@@ -220,7 +225,8 @@
 		}
 		if owner == c.Name {
 			owned = append(owned, granter.Server{
-				ID: id, Pool: s.Pool, AvailabilityZone: s.AvailabilityZone, Slots: s.Slots, Leaving: s.Leaving,
+				ID: id, Pool: s.Pool, AvailabilityZone: s.AvailabilityZone, Slots: s.Slots,
+				BurstSlots: s.BurstSlots, Leaving: s.Leaving,
 			})
 		}
 	}
@@ -315,27 +321,33 @@
 		Pool: k.Pool, Workspace: k.Workspace, Count: uint32(h.Count), Urgency: h.Urgency,
 		WaitedMillis: uint32(max(0, now.Sub(h.Arrived)) / time.Millisecond), Cost: uint32(h.Cost),
 	}
-	n := 0
+	n, full := 0, 0
 	for _, name := range c.targets(k) {
 		if name == c.Name {
-			n++
+			// An own slot costs no message; a free one is granted at once.
+			n += min(h.Count, c.owner.Free(now, k.Pool))
 			continue
 		}
 		p := c.peer(name)
 		told, known := p.told[k]
-		if !known && n >= c.wantedTargets(now, h) {
+		if !known && n >= c.wantedTargets(now, h, full) {
 			continue
 		}
 		n++
+		if p.idle[k.Pool] == 0 {
+			full++
+		}
 		if !known || told.Count < min(refreshBelow, r.Count) || told.Urgency < r.Urgency {
 			c.tell(now, p, k, r)
 		}
 	}
 }
 
-// wantedTargets grows with the time that the head has waited.
-func (c *Core) wantedTargets(now time.Time, h queuer.Head) int {
-	n := 1 + int(now.Sub(h.Arrived)/EscalateEvery)
+// wantedTargets grows with the time that the head has waited, and at once with
+// the owners that have no idle slot, up to a bound: each registration costs
+// control traffic.
+func (c *Core) wantedTargets(now time.Time, h queuer.Head, full int) int {
+	n := 1 + int(now.Sub(h.Arrived)/EscalateEvery) + min(full, maxExtra)
 	return min(n, maxTargets)
 }
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -309,7 +309,8 @@
 		in := listed[name]
 		ss = append(ss, scheduler.Server{
 			Name: name, Pool: placer.ID(d.Pool), AvailabilityZone: d.AvailabilityZone, Slots: d.Slots,
-			Leaving: t.tombstones[tombstone{server: placer.ID(name), incarnation: in.Incarnation}],
+			BurstSlots: d.BurstSlots,
+			Leaving:    t.tombstones[tombstone{server: placer.ID(name), incarnation: in.Incarnation}],
 		})
 	}
 	return ss
