Fewer and smaller messages between routers

Cause: registrations were renewed for each second grant, each in a message of its own, and a reported account waited for a second on average. Change: a long queue permits more offers than requests; renewals, reports and their answers wait for company; a refusal asks the next owner at once instead of all at the start; a sequence number takes one byte; accounts are reported each half second after 100 units, and what is pending counts one and a half times for each other owner.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -19,12 +19,14 @@
 	// IdleGrace is how long a workspace keeps its account untouched between two
 	// backlogs. After it, the workspace is lifted to the least backlogged one,
 	// because idling must not save up service.
-	IdleGrace = 3 * time.Second
+	IdleGrace = 4 * time.Second
 	// ReportWithin is the longest time between two reports of an account that is
 	// backlogged or was charged.
-	ReportWithin = 2 * time.Second
+	ReportWithin = 2500 * time.Millisecond
 	// reportStep is the weighted service after which a report is due early.
 	reportStep = 100
+	// herd is what each other owner is taken to charge for one unit charged here.
+	herd = 1.5
 	// ForgetAfter bounds memory: an account without reports is dropped then.
 	ForgetAfter = 10 * time.Minute
 )
@@ -168,14 +170,14 @@
 }
 
 // pending is what was charged since the value was received: here as counted, and
-// at the other owners presumably as much each, since all of them see the same
-// least workspace and grant to it until they hear of each other.
+// presumably at the other owners too, since all of them see the same least
+// workspace and grant to it until they hear of each other.
 func (l *Ledger) pending(a *account) float64 {
 	own := a.total - a.included
 	if own <= 0 {
 		return own
 	}
-	return own * float64(max(1, l.Owners))
+	return own * (1 + herd*float64(max(0, l.Owners-1)))
 }
 
 // Charge adds weighted service; a negative amount corrects an estimate.
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -46,7 +46,7 @@
 
 const (
 	// listEvery is the period of reading the platform's list.
-	listEvery = 1500 * time.Millisecond
+	listEvery = 2 * time.Second
 	// stopTimeout bounds a graceful shutdown; the longest request fits.
 	stopTimeout = 70 * time.Minute
 	// startTimeout bounds the start.
--- a/internal/encoder/codec.go
+++ b/internal/encoder/codec.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/rpc"
+	"sync/atomic"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -90,23 +91,38 @@
 
 func (c *codec) Close() error { return c.c.Close() }
 
-type clientCodec struct{ *codec }
+// seqMask keeps a sequence number in one byte on the wire.
+const seqMask = 0x7f
+
+// clientCodec serves one call at a time, so the low bits of a sequence number
+// name the call.
+type clientCodec struct {
+	*codec
+	seq atomic.Uint64
+}
 
 // NewClientCodec returns the codec of the calling side.
-func NewClientCodec(c io.ReadWriteCloser) rpc.ClientCodec { return &clientCodec{newCodec(c)} }
+func NewClientCodec(c io.ReadWriteCloser) rpc.ClientCodec { return &clientCodec{codec: newCodec(c)} }
 
 func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
 	n, err := methodNumber(r.ServiceMethod)
 	if err != nil {
 		return err
 	}
-	return c.write(&header{Method: n, Seq: r.Seq}, body)
+	c.seq.Store(r.Seq)
+	return c.write(&header{Method: n, Seq: r.Seq & seqMask}, body)
 }
 
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	h, err := c.readHeader()
-	r.Seq, r.Error = h.Seq, h.Error
-	return err
+	if err != nil {
+		return err
+	}
+	r.Seq, r.Error = c.seq.Load(), h.Error
+	if h.Seq != r.Seq&seqMask {
+		return failer.New("decode", KindInvalid, "an answer to another call")
+	}
+	return nil
 }
 
 func (c *clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
--- a/internal/installer/reader.go
+++ b/internal/installer/reader.go
@@ -18,7 +18,7 @@
 const (
 	// ReadEvery is the period of reading the head. With a lost read and the
 	// jitter a router still learns of a version within the promised 5 s.
-	ReadEvery = 2 * time.Second
+	ReadEvery = 2500 * time.Millisecond
 	// readJitter spreads the reads of many routers.
 	readJitter = 500 * time.Millisecond
 	// scanLimit is how many changes one read takes.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -22,8 +22,10 @@
 
 // The periods of the exchange.
 const (
-	// ReportEvery is the period of account reports and heartbeats.
-	ReportEvery = time.Second
+	// ReportEvery is the period of account reports.
+	ReportEvery = 500 * time.Millisecond
+	// HeartbeatEvery is how long a peer may go without a message.
+	HeartbeatEvery = time.Second
 	// LazyFlush is how long a message that no one waits for may be held back to
 	// be sent with others.
 	LazyFlush = 250 * time.Millisecond
@@ -41,6 +43,10 @@
 	// maxExtra bounds the owners that a queue registers with beyond the first
 	// because others have no idle slot.
 	maxExtra = 2
+	// longQueue is the length from which a registration permits longFactor times
+	// as many offers as requests wait.
+	longQueue  = 3
+	longFactor = 4
 	// neighbours is the number of peers that get a heartbeat without having a
 	// registration or slot in common.
 	neighbours = 8
@@ -318,7 +324,7 @@
 		return
 	}
 	r := encoder.Register{
-		Pool: k.Pool, Workspace: k.Workspace, Count: uint32(h.Count), Urgency: h.Urgency,
+		Pool: k.Pool, Workspace: k.Workspace, Count: offers(h.Count), Urgency: h.Urgency,
 		WaitedMillis: uint32(max(0, now.Sub(h.Arrived)) / time.Millisecond), Cost: uint32(h.Cost),
 	}
 	n, full := 0, 0
@@ -334,18 +340,33 @@
 			continue
 		}
 		n++
-		if p.idle[k.Pool] == 0 {
+		if known && p.idle[k.Pool] == 0 {
 			full++
 		}
 		if !known || told.Count < min(refreshBelow, r.Count) || told.Urgency < r.Urgency {
-			c.tell(now, p, k, r)
+			by := now
+			if known {
+				// The owner has offers left to make until then.
+				by = now.Add(LazyFlush)
+			}
+			c.tell(p, k, r, by)
 		}
 	}
 }
 
-// wantedTargets grows with the time that the head has waited, and at once with
-// the owners that have no idle slot, up to a bound: each registration costs
-// control traffic.
+// offers is how many offers an owner may make before the registration is
+// renewed. For a longer queue it is more than what waits: the queue mostly
+// grows again meanwhile, and an offer too many comes back at once.
+func offers(count int) uint32 {
+	if count < longQueue {
+		return uint32(count)
+	}
+	return uint32(count * longFactor)
+}
+
+// wantedTargets grows with the time that the head has waited, and sooner with
+// the owners that were asked and have no idle slot, up to a bound: each
+// registration costs control traffic.
 func (c *Core) wantedTargets(now time.Time, h queuer.Head, full int) int {
 	n := 1 + int(now.Sub(h.Arrived)/EscalateEvery) + min(full, maxExtra)
 	return min(n, maxTargets)
@@ -360,10 +381,10 @@
 	})
 }
 
-func (c *Core) tell(now time.Time, p *peer, k Key, r encoder.Register) {
+func (c *Core) tell(p *peer, k Key, r encoder.Register, by time.Time) {
 	p.told[k] = r
 	p.out.Registers = putRegister(p.out.Registers, r)
-	c.flush(p, now)
+	c.flush(p, by)
 }
 
 // putRegister replaces an unsent registration of the same queue.
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -33,7 +33,7 @@
 	for _, pr := range m.Reports {
 		for _, r := range pr.Reports {
 			p.out.Accounts = addAccount(p.out.Accounts, pr.Pool, c.home.Report(now, from, pr.Pool, r))
-			c.flush(p, now.Add(LazyFlush))
+			c.flush(p, now.Add(ReportEvery))
 		}
 	}
 	for _, pa := range m.Accounts {
@@ -47,12 +47,20 @@
 	for _, o := range m.Offers {
 		c.take(now, from.Router, o)
 	}
-	if len(m.Idle) > 0 {
-		c.retarget(now)
-	}
+	c.askOthers(now, p)
 	c.schedule(now)
 }
 
+// askOthers registers queues that the peer was told of and gave no slot with
+// another owner, if they want one.
+func (c *Core) askOthers(now time.Time, p *peer) {
+	for _, k := range c.queue.Keys() {
+		if _, told := p.told[k]; told {
+			c.register(now, k)
+		}
+	}
+}
+
 func (c *Core) absorbAsOwner(now time.Time, router string, m *encoder.Message) {
 	if m.Sync {
 		c.owner.Sync(now, router, m.Held)
@@ -207,7 +215,7 @@
 		}
 		p := c.peer(home)
 		p.out.Reports = putReport(p.out.Reports, k.Pool, r)
-		c.flush(p, now.Add(LazyFlush))
+		c.flush(p, now.Add(ReportEvery))
 	}
 }
 
@@ -246,7 +254,7 @@
 		if i >= neighbours && !shares {
 			continue
 		}
-		if now.Sub(p.sentAt) >= ReportEvery {
+		if now.Sub(p.sentAt) >= HeartbeatEvery {
 			c.flush(p, now)
 		}
 	}
