The commands of the product, and experiments on what must hold under failure

Cause: no promise on answers, drains, silence and configuration was measured. Change: check, generate, diff, apply, dump, claim, emulate, load; the experiments at-most-once, store-outage, drain, shutdown, silent-connections, partition and configuration, judged by the ledger of the stand-in services.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -297,6 +297,7 @@
 		Slots: dispatcher.Slots{Acquire: s.Acquire, Release: s.Release},
 	}
 	if n.options.Plain {
+		d.Claimer = nil
 		n.plain = &scheduler.Plain{Limits: queuer.Limits{Requests: n.settings.Limits.WaitingRequests}}
 		d.Slots = dispatcher.Slots{Acquire: n.plain.Acquire, Release: n.plain.Release}
 	}
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -42,6 +42,14 @@
 			routerCommand(logger),
 			demoCommand(out, logger),
 			measureCommand(out, logger),
+			checkCommand(out),
+			generateCommand(out),
+			diffCommand(out),
+			applyCommand(out),
+			dumpCommand(out),
+			claimCommand(out),
+			emulateCommand(out, logger),
+			loadCommand(out),
 		},
 	}
 }
--- /dev/null
+++ b/internal/commander/operate.go
@@ -0,0 +1,166 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"papayapaddle/internal/claimer"
+	"papayapaddle/internal/demonstrator"
+	"papayapaddle/internal/emulator"
+	"papayapaddle/internal/loader"
+)
+
+// dumpTimeout bounds the reading of a dump.
+const dumpTimeout = 10 * time.Second
+
+func dumpCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "dump", Usage: "print the whole state of a router, or its metrics", OnUsageError: usageError,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "router", Usage: "base `URL` of the operators' listener", Required: true},
+			&cli.StringFlag{Name: "token", Usage: "the operators' token", Required: true, Sources: cli.EnvVars("PAPAYAPADDLE_TOKEN")},
+			&cli.BoolFlag{Name: "metrics", Usage: "print the metrics instead"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			path := "/dump"
+			if c.Bool("metrics") {
+				path = "/metrics"
+			}
+			ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(c.String("router"), "/")+path, nil)
+			if err != nil {
+				return err
+			}
+			req.Header.Set("Authorization", "Bearer "+c.String("token"))
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return err
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				return fmt.Errorf("the router answered %s; is the token right?", resp.Status)
+			}
+			_, err = io.Copy(out, resp.Body)
+			return err
+		},
+	}
+}
+
+func claimCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "claim", Usage: "look up what became of a keyed call", OnUsageError: usageError,
+		Flags: []cli.Flag{
+			platformFlag(),
+			&cli.StringFlag{Name: "workspace", Required: true, Usage: "the caller's workspace"},
+			&cli.StringFlag{Name: "service", Required: true, Usage: "the service called"},
+			&cli.StringFlag{Name: "key", Required: true, Usage: "the call's idempotency key"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			k := claimer.Key{Workspace: c.String("workspace"), Service: c.String("service"), Key: c.String("key")}
+			row, err := store(c).Get(ctx, k.Row())
+			if err != nil {
+				return fmt.Errorf("%s: %w", k.Row(), err)
+			}
+			claim, err := claimer.Decode(row.Value)
+			if err != nil {
+				return err
+			}
+			e := json.NewEncoder(out)
+			e.SetIndent("", "  ")
+			return e.Encode(claim)
+		},
+	}
+}
+
+func emulateCommand(out io.Writer, logger log.Logger) *cli.Command {
+	return &cli.Command{
+		Name: "emulate", Usage: "run the stand-ins of the platform, model engines and plain services", OnUsageError: usageError,
+		Description: "Prints declarations for them; put them in force with apply. Faults are set by a POST to /emulator/fault " +
+			"of each stand-in, the runs of services are at /emulator/ledger.",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "port", Value: 7000, Usage: "first of consecutive ports; the platform's"},
+			&cli.IntFlag{Name: "engines", Value: 4, Usage: "number of model engines"},
+			&cli.IntFlag{Name: "services", Value: 3, Usage: "number of booking servers"},
+			&cli.StringFlag{Name: "zones", Value: "graz-a,graz-b,leoben-c", Usage: "availability zones"},
+			&cli.StringSliceFlag{Name: "router", Usage: "list a router: `NAME=ADDRESS@ZONE`, with the address of its peer listener"},
+			&cli.StringFlag{Name: "workspaces", Value: "solar-quotes,volunteers", Usage: "sample workspaces; the key of one is key-NAME"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			h, err := emulator.StartHost(emulator.Plan{
+				Zones: strings.Split(c.String("zones"), ","), Engines: c.Int("engines"), Slots: 4, Services: c.Int("services"),
+				ServiceSlots: 8, Speed: emulator.DefaultSpeed, ServiceWork: 20 * time.Millisecond, Seed: 1, Port: c.Int("port"),
+			})
+			if err != nil {
+				return err
+			}
+			defer h.Close()
+			for _, r := range c.StringSlice("router") {
+				name, rest, ok := strings.Cut(r, "=")
+				address, zone, ok2 := strings.Cut(rest, "@")
+				if !ok || !ok2 {
+					return fmt.Errorf("--router %q: write NAME=ADDRESS@ZONE", r)
+				}
+				h.AddRouter(name, address, zone)
+			}
+			b, err := demonstrator.DeclarationsYAML(h, strings.Split(c.String("workspaces"), ","))
+			if err != nil {
+				return err
+			}
+			if _, err := out.Write(b); err != nil {
+				return err
+			}
+			_ = logger.Log("event", "emulating", "platform", h.PlatformURL)
+			<-ctx.Done()
+			return nil
+		},
+	}
+}
+
+func loadCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "load", Usage: "drive routers with an open loop of model requests and judge the answers", OnUsageError: usageError,
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "router", Usage: "base `URL` of a router for callers", Required: true},
+			&cli.StringFlag{Name: "workspace", Required: true, Usage: "name for the report"},
+			&cli.StringFlag{Name: "key", Required: true, Usage: "the workspace's bearer key"},
+			&cli.StringFlag{Name: "path", Value: "/v1/completions", Usage: "chooses the kind of work"},
+			&cli.StringFlag{Name: "model", Value: emulator.ModelName, Usage: "model to ask for"},
+			&cli.Float64Flag{Name: "rate", Value: 5, Usage: "requests a second"},
+			&cli.IntFlag{Name: "seconds", Value: 10, Usage: "length of the load"},
+			&cli.IntFlag{Name: "least", Value: 10, Usage: "least tokens of an answer"},
+			&cli.IntFlag{Name: "most", Value: 200, Usage: "most tokens of an answer"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of arrivals and lengths"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Float64("rate") <= 0 || c.Int("seconds") < 1 || c.Int("least") < 1 || c.Int("most") <= c.Int("least") {
+				return fmt.Errorf("use a --rate above 0, --seconds of at least 1, and 1 <= --least < --most")
+			}
+			length := time.Duration(c.Int("seconds")) * time.Second
+			run := loader.Start(ctx, loader.Plan{
+				Seed: c.Uint64("seed"), Length: length, Drain: time.Minute,
+				Flows: []loader.Flow{{
+					Workspace: c.String("workspace"), Key: c.String("key"), Path: c.String("path"), Model: c.String("model"),
+					Rate: c.Float64("rate"), URLs: c.StringSlice("router"), Cost: loader.LogUniform(c.Int("least"), c.Int("most")),
+				}},
+			})
+			run.Wait()
+			t := run.Total()
+			fmt.Fprintf(out, "started=%d complete=%d not-run=%d unknown=%d cut=%d wrong=%d tokens-per-second=%.1f\n",
+				t.Started, t.Complete, t.NotRun, t.Unknown, t.Cut, t.Wrong, float64(t.Tokens)/length.Seconds())
+			for _, q := range []float64{50, 95, 99} {
+				fmt.Fprintf(out, "p%g first-token-ms=%.1f between-tokens-ms=%.2f\n", q,
+					float64(t.First.ValueAtQuantile(q))/1000, float64(t.Between.ValueAtQuantile(q))/1000)
+			}
+			return nil
+		},
+	}
+}
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -140,6 +140,15 @@
 	return err
 }
 
+// DeclarationsYAML returns sample declarations for stand-ins.
+func DeclarationsYAML(h *emulator.Host, names []string) ([]byte, error) {
+	var ws []declarer.Workspace
+	for _, n := range names {
+		ws = append(ws, Workspace(n, 1))
+	}
+	return yaml.Marshal(h.Declarations(ws))
+}
+
 // Store returns a client of the platform without a budget.
 func (d *Deployment) Store() *connector.Client {
 	return &connector.Client{Base: d.Host.PlatformURL, HTTP: &http.Client{}}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -109,7 +109,8 @@
 	Release func(scheduler.Slot, encoder.Release)
 }
 
-// Dispatcher dispatches requests. All exported fields must be set.
+// Dispatcher dispatches requests. All exported fields must be set, but for a
+// Claimer in the baseline of measurements, which claims nothing.
 type Dispatcher struct {
 	Config    func() *declarer.Config
 	Slots     Slots
@@ -171,7 +172,7 @@
 }
 
 // keyed says whether the call needs a claim.
-func (c *call) keyed() bool { return !c.idempotent() && c.Key != "" }
+func (c *call) keyed() bool { return !c.idempotent() && c.Key != "" && c.d.Claimer != nil }
 
 func (c *call) idempotent() bool { return c.Kind != nil && c.Kind.Idempotent }
 
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -8,10 +8,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -81,6 +83,8 @@
 	Complete int64
 	NotRun   int64
 	Unknown  int64
+	// Refused counts connections that were not accepted.
+	Refused int64
 	// Cut counts answers that visibly ended early; Wrong those that were not
 	// whole or another's without the caller being able to tell.
 	Cut    int64
@@ -103,6 +107,7 @@
 	t.Complete += o.Complete
 	t.NotRun += o.NotRun
 	t.Unknown += o.Unknown
+	t.Refused += o.Refused
 	t.Cut += o.Cut
 	t.Wrong += o.Wrong
 	t.Tokens += o.Tokens
@@ -290,7 +295,15 @@
 		return 0
 	}
 	if err != nil {
-		r.note(f, started, func(t *Tally) { t.Unknown++ })
+		var op *net.OpError
+		refused := errors.As(err, &op) && op.Op == "dial"
+		r.note(f, started, func(t *Tally) {
+			if refused {
+				t.Refused++
+			} else {
+				t.Unknown++
+			}
+		})
 		return time.Second
 	}
 	defer resp.Body.Close()
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -20,6 +20,7 @@
 	"papayapaddle/internal/emulator"
 	"papayapaddle/internal/failer"
 	"papayapaddle/internal/linker"
+	"papayapaddle/internal/scheduler"
 )
 
 // Kind classifies the errors of this package.
@@ -118,6 +119,13 @@
 		{Name: "flood-least-urgent", Usage: "what others keep when one workspace floods with its least urgent work", Run: floodLeast},
 		{Name: "flood-most-urgent", Usage: "what others keep when one workspace floods with its most urgent work", Run: floodMost},
 		{Name: "control-traffic", Usage: "bytes a second that routers spend on themselves", Run: controlTraffic},
+		{Name: "at-most-once", Usage: "bookings under kills, freezes, lost, cut and crossed answers, and store outages", Run: atMostOnce},
+		{Name: "store-outage", Usage: "what goes on while the platform is down, slow and back", Run: storeOutage},
+		{Name: "drain", Usage: "time until a leaving server gets no new work", Run: drain},
+		{Name: "silent-connections", Usage: "established connections go silent while new ones work", Run: silentConnections},
+		{Name: "shutdown", Usage: "routers stopped one after another under load", Run: shutdown},
+		{Name: "partition", Usage: "routers cut off from each other and healed, under a backlog", Run: partition},
+		{Name: "configuration", Usage: "two operators race through restarts, partitions and store outages", Run: configuration},
 	}
 	slices.SortFunc(es, func(a, b Experiment) int { return strings.Compare(a.Name, b.Name) })
 	return es
@@ -167,6 +175,8 @@
 	zoneJitter   = time.Millisecond
 	zoneLoss     = 0.0005
 	sameDelay    = 200 * time.Microsecond
+	// balancerDelay is how long the balancer takes to turn away.
+	balancerDelay = time.Second
 )
 
 // The costs of requests spread over two orders of magnitude.
@@ -191,8 +201,14 @@
 			Speed: emulator.DefaultSpeed, ServiceWork: 20 * time.Millisecond, Seed: o.Seed, ListLag: time.Second,
 		},
 		Routers: o.Routers, Workspaces: workspaces(), Logger: o.Logger, Network: network, Plain: o.Baseline,
+		BalancerDelay: balancerDelay,
 	})
-	return d, network, err
+	if err != nil {
+		return nil, nil, err
+	}
+	// No figure includes the first take-over of the servers.
+	time.Sleep(scheduler.TakeoverWait + scheduler.ReportEvery)
+	return d, network, nil
 }
 
 // largeWeight is the weight of the few large workspaces.
@@ -234,3 +250,13 @@
 	}
 	return urls
 }
+
+// quantile returns a quantile of values, 0 of none.
+func quantile(vs []float64, q float64) float64 {
+	if len(vs) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(vs)
+	slices.Sort(sorted)
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
