--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -21,6 +21,7 @@
 	"papayapaddle/internal/claimer"
 	"papayapaddle/internal/configurer"
 	"papayapaddle/internal/connector"
+	"papayapaddle/internal/declarer"
 	"papayapaddle/internal/dispatcher"
 	"papayapaddle/internal/exchanger"
 	"papayapaddle/internal/failer"
@@ -94,8 +95,10 @@
 
 	callers   *http.Server
 	operators *http.Server
-	draining  atomic.Bool
-	cancel    context.CancelFunc
+	// kick makes the reader of the configuration look at once.
+	kick     chan struct{}
+	draining atomic.Bool
+	cancel   context.CancelFunc
 	// requests is the parent of every request's context.
 	requests context.Context
 	abort    context.CancelFunc
@@ -175,7 +178,7 @@
 }
 
 func newNode(o Options) *node {
-	n := &node{options: o, settings: o.Settings, logger: o.Logger, metrics: metrics.NewRegistry()}
+	n := &node{options: o, settings: o.Settings, logger: o.Logger, metrics: metrics.NewRegistry(), kick: make(chan struct{}, 1)}
 	if n.logger == nil {
 		n.logger = log.NewNopLogger()
 	}
@@ -318,7 +321,10 @@
 	n.scheduler, n.exchanger, n.forwarder, n.claimer = s, e, f, c
 	n.dispatch, n.acceptor = d, a
 	n.gossip = &gossip{node: n}
-	in.OnInstall = t.SetConfig
+	in.OnInstall = func(c *declarer.Config) {
+		t.SetConfig(c)
+		n.gossip.announce()
+	}
 	t.OnView = s.SetView
 	if n.plain != nil {
 		t.OnView = n.plain.SetView
--- a/internal/assembler/gossip.go
+++ b/internal/assembler/gossip.go
@@ -1,7 +1,12 @@
 package assembler
 
 import (
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"papayapaddle/internal/accountant"
 	"papayapaddle/internal/encoder"
@@ -13,6 +18,9 @@
 type gossip struct {
 	node *node
 
+	// announcing says that an announcement is due.
+	announcing atomic.Bool
+
 	mu sync.Mutex
 	// newest holds the configuration version that a peer told of.
 	newest map[string]uint64
@@ -31,6 +39,15 @@
 		Up:         g.up,
 		Down:       g.down,
 		Version:    g.node.installer.Version,
+		Hint:       g.hint,
+	}
+}
+
+// hint makes the reader look at the store at once.
+func (g *gossip) hint(uint64) {
+	select {
+	case g.node.kick <- struct{}{}:
+	default:
 	}
 }
 
@@ -94,21 +111,49 @@
 	if len(m.Leaving) > 0 {
 		n.tracker.Leave(m.Leaving)
 	}
+	before := n.installer.Version()
 	if len(m.Changes) > 0 || m.Snapshot != nil {
 		if err := n.installer.InstallEncoded(m.Changes, m.Snapshot); err != nil {
 			n.log("config-from-peer-refused", "peer", peer, "err", err)
 		}
 	}
-	if m.ConfigVersion <= n.installer.Version() {
-		return
-	}
+	have := n.installer.Version()
 	g.mu.Lock()
 	if g.newest == nil {
 		g.newest = map[string]uint64{}
 	}
+	heard := m.ConfigVersion > g.newest[peer]
 	g.newest[peer] = max(g.newest[peer], m.ConfigVersion)
+	behind := g.newest[peer] > have
 	g.mu.Unlock()
-	n.exchanger.Wake(peer)
+	// A peer that has more is asked again at once only while that brings
+	// something; otherwise the next message asks.
+	if behind && (heard || have > before) {
+		n.exchanger.Wake(peer)
+	}
+}
+
+const (
+	// announcePeers is how many peers are told of a new version at once; they
+	// tell others in turn.
+	announcePeers = 8
+	// announceEvery bounds how often versions are announced; the latest counts.
+	announceEvery = 300 * time.Millisecond
+)
+
+// announce tells some peers of a new version soon.
+func (g *gossip) announce() {
+	if g.announcing.Swap(true) {
+		return
+	}
+	time.AfterFunc(announceEvery, func() {
+		g.announcing.Store(false)
+		peers := slices.Collect(maps.Keys(g.node.tracker.Dump().Peers))
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		for _, p := range peers[:min(announcePeers, len(peers))] {
+			g.node.exchanger.Wake(p)
+		}
+	})
 }
 
 // repeat makes the next message to a peer say what it may have missed.
--- a/internal/assembler/lifecycle.go
+++ b/internal/assembler/lifecycle.go
@@ -118,7 +118,7 @@
 	go n.callers.Serve(secured(callers, callersTLS))
 	go n.scheduler.Run(ctx)
 	go n.readList(ctx)
-	reader := installer.Reader{Store: n.store, Installer: n.installer, OnRead: n.onRead}
+	reader := installer.Reader{Store: n.store, Installer: n.installer, OnRead: n.onRead, Kick: n.kick}
 	go reader.Run(ctx)
 	n.log("started", "callers", n.settings.Callers.Address, "peers", n.settings.Peers.Address, "incarnation", n.incarnation)
 	return nil
@@ -199,6 +199,7 @@
 	if n.cancel == nil {
 		return
 	}
+	n.draining.Store(true)
 	n.cancel()
 	n.abort()
 	n.callers.Close()
--- a/internal/commander/declare.go
+++ b/internal/commander/declare.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -14,8 +13,6 @@
 	"papayapaddle/internal/applier"
 	"papayapaddle/internal/connector"
 	"papayapaddle/internal/declarer"
-	"papayapaddle/internal/encoder"
-	"papayapaddle/internal/exchanger"
 	"papayapaddle/internal/generator"
 )
 
@@ -166,7 +163,7 @@
 	total := len(missing)
 	for {
 		for name, address := range missing {
-			if v, err := routerVersion(ctx, address); err == nil && v >= version {
+			if v, err := applier.Hint(ctx, address, version); err == nil && v >= version {
 				delete(missing, name)
 			}
 		}
@@ -184,18 +181,3 @@
 	}
 	return fmt.Errorf("accepted, but %d of %d routers do not have version %d yet", len(missing), total, version)
 }
-
-// routerVersion asks a router's peer listener as an observer.
-func routerVersion(ctx context.Context, address string) (uint64, error) {
-	var d net.Dialer
-	client, _, err := exchanger.Dial(ctx, d.DialContext, address, encoder.Hello{})
-	if err != nil {
-		return 0, err
-	}
-	defer client.Close()
-	var reply encoder.Message
-	if err := exchanger.Call(client, "Peer.Exchange", &encoder.Message{}, &reply); err != nil {
-		return 0, err
-	}
-	return reply.ConfigVersion, nil
-}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -33,7 +33,7 @@
 
 const (
 	// CallTimeout bounds a call; a peer that misses it is taken for cut off.
-	CallTimeout = time.Second
+	CallTimeout = 900 * time.Millisecond
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 500 * time.Millisecond
 	// minRedial and maxRedial bound the wait before a failed peer is tried again.
@@ -58,6 +58,8 @@
 	Down func(peer string)
 	// Version returns the installed configuration version, for observers.
 	Version func() uint64
+	// Hint tells that an observer knows of a newer version.
+	Hint func(version uint64)
 }
 
 // Exchanger holds the links to all peers. Name, Incarnation, Dial and Handlers
@@ -359,6 +361,9 @@
 	}
 	if source.Router == "" {
 		out.ConfigVersion = p.e.Handlers.Version()
+		if in.ConfigVersion > out.ConfigVersion {
+			p.e.Handlers.Hint(in.ConfigVersion)
+		}
 		return nil
 	}
 	*out = p.e.Handlers.Receive(source, in)
--- a/internal/installer/reader.go
+++ b/internal/installer/reader.go
@@ -19,6 +19,9 @@
 	// ReadEvery is the period of reading the head. With a lost read and the
 	// jitter a router still learns of a version within the promised 5 s.
 	ReadEvery = 2500 * time.Millisecond
+	// minRetry and maxRetry bound the growing wait after a failed reading.
+	minRetry = 300 * time.Millisecond
+	maxRetry = ReadEvery
 	// readJitter spreads the reads of many routers.
 	readJitter = 500 * time.Millisecond
 	// scanLimit is how many changes one read takes.
@@ -37,24 +40,36 @@
 	Store     *connector.Client
 	Installer *Installer
 	OnRead    func(err error)
+	// Kick makes Run read at once; nil is never ready.
+	Kick chan struct{}
 }
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
+	retry := minRetry
 	for {
 		err := r.Read(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		next := ReadEvery + rand.N(readJitter)
+		if err != nil {
+			next = retry + rand.N(retry)
+			retry = min(2*retry, maxRetry)
+		} else {
+			retry = minRetry
+		}
 		if r.OnRead != nil {
 			r.OnRead(err)
 		}
-		t := time.NewTimer(ReadEvery + rand.N(readJitter))
+		t := time.NewTimer(next)
 		select {
 		case <-ctx.Done():
 			t.Stop()
 			return
 		case <-t.C:
+		case <-r.Kick:
+			t.Stop()
 		}
 	}
 }
--- a/internal/measurer/breaker.go
+++ b/internal/measurer/breaker.go
@@ -185,6 +185,7 @@
 	time.Sleep(o.Length / 3)
 	listed := time.Now()
 	engine := d.Host.Engines[0]
+	before := engine.Stats().Requests
 	for _, s := range d.Host.Servers {
 		if s.Name == engine.Name {
 			d.Host.Platform.SetInstance(connector.Instance{
@@ -204,6 +205,7 @@
 	total := run.Total()
 	lag := d.Host.Platform.ListLag.Seconds()
 	return []Figure{
+		figure("requests-before-listing", float64(before), "count").atLeast(1),
 		figure("last-new-request-after-visible", max(0, last.Sub(listed).Seconds()-lag), "s").atMost(drainBound),
 		figure("last-new-request-after-listing", last.Sub(listed).Seconds(), "s"),
 		figure("requests-cut", float64(total.Cut), "count").atMost(0),
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -30,6 +30,8 @@
 const (
 	KindUnknownName Kind = "unknown experiment"
 	KindOver        Kind = "a bound was passed"
+	// KindStuck means that the experiment did not end in time.
+	KindStuck Kind = "did not end"
 )
 
 // Error is the error type of this package.
@@ -131,6 +133,9 @@
 	return es
 }
 
+// overtime is how long an experiment may go on after its load.
+const overtime = 90 * time.Second
+
 // Run runs an experiment and prints its figures as text or JSON lines. It fails
 // with KindOver when a bound is passed.
 func Run(ctx context.Context, name string, o Options, out io.Writer, asJSON bool) error {
@@ -138,9 +143,26 @@
 	if i < 0 {
 		return failer.New("measure", KindUnknownName, name)
 	}
-	figures, err := Experiments()[i].Run(ctx, o)
-	if err != nil {
-		return err
+	ctx, cancel := context.WithTimeout(ctx, o.Length+overtime)
+	defer cancel()
+	type result struct {
+		figures []Figure
+		err     error
+	}
+	ended := make(chan result, 1)
+	go func() {
+		fs, err := Experiments()[i].Run(ctx, o)
+		ended <- result{fs, err}
+	}()
+	var figures []Figure
+	select {
+	case r := <-ended:
+		if r.err != nil {
+			return r.err
+		}
+		figures = r.figures
+	case <-ctx.Done():
+		return failer.Wrap("measure "+name, KindStuck, ctx.Err())
 	}
 	over := 0
 	for _, f := range figures {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -31,7 +31,7 @@
 	LazyFlush = 250 * time.Millisecond
 	// TakeoverWait is how long a new owner of a server waits for the holders of
 	// its slots to announce themselves.
-	TakeoverWait = time.Second
+	TakeoverWait = 500 * time.Millisecond
 	// EscalateEvery is how long a queue waits before it registers with one more
 	// owner.
 	EscalateEvery = 100 * time.Millisecond
--- a/internal/scheduler/plain.go
+++ b/internal/scheduler/plain.go
@@ -37,10 +37,7 @@
 func (p *Plain) SetView(v View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.used == nil {
-		p.used, p.next = map[uint32]int{}, map[uint32]int{}
-		p.waiting, p.pools = map[uint32][]*plainWaiter{}, map[SlotID]uint32{}
-	}
+	p.init()
 	p.servers, p.slots = map[uint32][]Server{}, map[uint32]int{}
 	for _, s := range v.Servers {
 		if !s.Leaving {
@@ -54,10 +51,19 @@
 	}
 }
 
+// init makes the maps; requests may come before the first view.
+func (p *Plain) init() {
+	if p.used == nil {
+		p.used, p.next = map[uint32]int{}, map[uint32]int{}
+		p.waiting, p.pools = map[uint32][]*plainWaiter{}, map[SlotID]uint32{}
+	}
+}
+
 // Acquire waits for a slot in the order of arrival.
 func (p *Plain) Acquire(ctx context.Context, r Request) (Slot, error) {
 	w := &plainWaiter{ch: make(chan decision, 1), deadline: r.Deadline}
 	p.mu.Lock()
+	p.init()
 	if p.count >= p.Limits.Requests {
 		p.mu.Unlock()
 		return Slot{}, failer.Wrap("acquire", KindRefused, &RefusedError{
