--- /dev/null
+++ b/internal/declarer/declarer_test.go
@@ -0,0 +1,88 @@
+package declarer
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// TestLoad runs the scripts of testdata: declarations beside what check says of
+// them. KEY stands for a key's hash.
+func TestLoad(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			in := strings.ReplaceAll(d.Input, "KEY", HashKey(d.Cmd))
+			c, err := LoadBytes("a.yaml", []byte(in))
+			if err != nil {
+				return err.Error() + "\n"
+			}
+			var out strings.Builder
+			for _, r := range c.Rows() {
+				out.WriteString(r.Key() + "\n")
+			}
+			return out.String()
+		})
+	})
+}
+
+// TestDiffLeadsToTarget checks that applying a difference gives the target, and
+// that the base stays as it was.
+func TestDiffLeadsToTarget(t *testing.T) {
+	draw := func(t *rapid.T, name string) *Config {
+		var rows []Row
+		for _, n := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 0, 5, rapid.ID).Draw(t, name) {
+			w := Workspace{Name: n, Weight: rapid.Float64Range(1, 3).Draw(t, "weight"), KeyHashes: []string{HashKey(n)}}
+			rows = append(rows, NewRow(SectionWorkspaces, n, w))
+		}
+		c, err := (&Config{}).Apply(1, rows)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		base, target := draw(t, "base"), draw(t, "target")
+		before := len(base.Rows())
+		got, err := base.Apply(2, base.Diff(target))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(got.Diff(target)) != 0 || got.WorkspaceCount() != target.WorkspaceCount() || len(base.Rows()) != before {
+			t.Fatalf("the difference does not lead to the target")
+		}
+		for _, r := range target.Rows() {
+			if w := got.WorkspaceByKey(r.Name); w == nil || w.Name != r.Name {
+				t.Fatalf("key of %s leads to %v", r.Name, w)
+			}
+		}
+	})
+}
+
+func TestKindOfTakesMostSpecific(t *testing.T) {
+	c := qt.New(t)
+	rows := []Row{
+		NewRow(SectionKinds, "any", WorkKind{Name: "any", Pool: "p", Urgency: UrgencyLow}),
+		NewRow(SectionKinds, "get", WorkKind{Name: "get", Pool: "p", Urgency: UrgencyLow, Methods: []string{"GET"}}),
+		NewRow(SectionKinds, "deep", WorkKind{Name: "deep", Pool: "p", Urgency: UrgencyLow, Path: "/a/b"}),
+	}
+	cfg, err := (&Config{}).Apply(1, rows)
+	c.Assert(err, qt.IsNil)
+	c.Assert(cfg.KindOf("p", "POST", "/x", "").Name, qt.Equals, "any")
+	c.Assert(cfg.KindOf("p", "GET", "/x", "").Name, qt.Equals, "get")
+	c.Assert(cfg.KindOf("p", "GET", "/a/b/c", "").Name, qt.Equals, "deep")
+	c.Assert(cfg.KindOf("q", "GET", "/a/b/c", ""), qt.IsNil)
+}
+
+func FuzzLoad(f *testing.F) {
+	f.Add([]byte("workspaces: [{name: a, weight: 1, key-hashes: []}]"))
+	f.Add([]byte("pools: {}\nkinds: [1]"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c, err := LoadBytes("f.yaml", b)
+		if err == nil && len(c.CheckReferences()) > 0 {
+			t.Fatal("a configuration with broken references was loaded")
+		}
+	})
+}
--- a/internal/encoder/codec.go
+++ b/internal/encoder/codec.go
@@ -149,3 +149,26 @@
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	return c.write(&header{Seq: r.Seq, Error: r.Error}, body)
 }
+
+// Size returns the bytes that a message takes on the wire as a request or a
+// reply, for measurements.
+func Size(m *Message) int {
+	var n counter
+	c := newCodec(&n)
+	if err := c.write(&header{Method: 2, Seq: 1}, m); err != nil {
+		return 0
+	}
+	return int(n)
+}
+
+// counter is a connection that only counts what is written.
+type counter int
+
+func (c *counter) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c *counter) Write(p []byte) (int, error) {
+	*c += counter(len(p))
+	return len(p), nil
+}
+
+func (c *counter) Close() error { return nil }
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -128,6 +128,7 @@
 		{Name: "shutdown", Usage: "routers stopped one after another under load", Run: shutdown},
 		{Name: "partition", Usage: "routers cut off from each other and healed, under a backlog", Run: partition},
 		{Name: "configuration", Usage: "two operators race through restarts, partitions and store outages", Run: configuration},
+		{Name: "slopes", Usage: "what one more workspace, request, account and router costs", Run: slopes},
 	}
 	slices.SortFunc(es, func(a, b Experiment) int { return strings.Compare(a.Name, b.Name) })
 	return es
--- /dev/null
+++ b/internal/queuer/queuer_test.go
@@ -0,0 +1,102 @@
+package queuer
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestShedsOnlyFromOverShare fills a queue with drawn requests and checks each
+// victim: its workspace used at least as much for its weight as any other, and
+// the victim was its newest least urgent request.
+func TestShedsOnlyFromOverShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := map[uint32]float64{1: 1, 2: 4, 3: 0.5}
+		q := &Queuer{Limits: Limits{Requests: 20, Bytes: 2000}, Weight: func(w uint32) float64 { return weights[w] }}
+		waiting := map[uint64]*Item{}
+		for i := range rapid.IntRange(1, 120).Draw(t, "requests") {
+			it := &Item{
+				ID:      uint64(i + 1),
+				Key:     Key{Pool: rapid.Uint32Range(1, 2).Draw(t, "pool"), Workspace: rapid.Uint32Range(1, 3).Draw(t, "workspace")},
+				Urgency: uint8(rapid.IntRange(0, 2).Draw(t, "urgency")),
+				Arrived: start.Add(time.Duration(i) * time.Millisecond),
+				Bytes:   rapid.IntRange(1, 150).Draw(t, "bytes"),
+			}
+			waiting[it.ID] = it
+			for _, v := range q.Push(it) {
+				checkVictim(t, q, waiting, v)
+				delete(waiting, v.ID)
+			}
+			if n, b := q.Len(); n > 20 || b > 2000 || n != len(waiting) {
+				t.Fatalf("%d requests and %d bytes wait, %d were not shed", n, b, len(waiting))
+			}
+		}
+	})
+}
+
+func checkVictim(t *rapid.T, q *Queuer, waiting map[uint64]*Item, v *Item) {
+	requests, bytes := map[uint32]int{}, map[uint32]int{}
+	total := 0
+	for _, it := range waiting {
+		requests[it.Key.Workspace]++
+		bytes[it.Key.Workspace] += it.Bytes
+		total += it.Bytes
+	}
+	use := func(w uint32) float64 {
+		if total > q.Limits.Bytes {
+			return float64(bytes[w]) / q.Weight(w)
+		}
+		return float64(requests[w]) / q.Weight(w)
+	}
+	for w := range requests {
+		if use(w) > use(v.Key.Workspace) {
+			t.Fatalf("workspace %d was shed from at %v, %d uses %v", v.Key.Workspace, use(v.Key.Workspace), w, use(w))
+		}
+	}
+	for _, it := range waiting {
+		if it.Key.Workspace == v.Key.Workspace && it != v && sheddable(it, v) {
+			t.Fatalf("request %d was shed before %d", v.ID, it.ID)
+		}
+	}
+}
+
+// TestNoUrgencyStarves floods a workspace with its most urgent work and checks
+// that a least urgent request still starts.
+func TestNoUrgencyStarves(t *testing.T) {
+	c := qt.New(t)
+	q := &Queuer{Limits: Limits{Requests: 1000, Bytes: 1000}, Weight: func(uint32) float64 { return 1 }}
+	k := Key{Pool: 1, Workspace: 1}
+	now := start
+	q.Push(&Item{ID: 1, Key: k, Urgency: 0, Arrived: now})
+	for i := range 200 {
+		q.Push(&Item{ID: uint64(i + 2), Key: k, Urgency: 2, Arrived: now})
+	}
+	for i := range 4000 {
+		now = now.Add(100 * time.Millisecond)
+		q.Push(&Item{ID: uint64(i + 1000), Key: k, Urgency: 2, Arrived: now})
+		if it := q.Pop(now, k); it.ID == 1 {
+			// Two ranks make it wait 16 times as long as the urgent head, 20 s.
+			c.Assert(i, qt.Equals, 3200)
+			return
+		}
+	}
+	c.Fatal("the least urgent request never started")
+}
+
+// TestExpire gives up exactly what has passed its deadline.
+func TestExpire(t *testing.T) {
+	c := qt.New(t)
+	q := &Queuer{Limits: Limits{Requests: 10, Bytes: 10}, Weight: func(uint32) float64 { return 1 }}
+	k := Key{Pool: 1, Workspace: 1}
+	for i := range 4 {
+		q.Push(&Item{ID: uint64(i), Key: k, Arrived: start, Deadline: start.Add(time.Duration(i) * time.Second)})
+	}
+	c.Assert(q.Expire(start.Add(time.Second)), qt.HasLen, 2)
+	c.Assert(q.Head(start, k).Count, qt.Equals, 2)
+	c.Assert(q.Remove(k, 3), qt.IsTrue)
+	c.Assert(q.Remove(k, 3), qt.IsFalse)
+}
