--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -53,30 +53,49 @@
 	value          float64
 	backloggedTill time.Time
 	reportedAt     time.Time
-	bases          map[Source]base
+	// rebuildTill is until when echoes are looked at, after a time without any
+	// report.
+	rebuildTill time.Time
+	bases       map[Source]base
 }
 
 // Home sums accounts. The zero value is an empty home.
 type Home struct {
 	accounts map[Key]*homeAccount
+	// liftFrom is when lifts are decided again; see HoldLifts.
+	liftFrom time.Time
 }
 
+// HoldLifts keeps all accounts from being lifted for a while. After a change of
+// the routers a home may not have heard yet that a workspace was backlogged at
+// another owner all the time, and would take its deficit away.
+func (h *Home) HoldLifts(now time.Time) { h.liftFrom = now.Add(IdleGrace) }
+
 // Report takes one owner's count in and returns the fleet-wide value.
 func (h *Home) Report(now time.Time, from Source, pool uint32, r encoder.Report) encoder.Account {
 	a := h.account(Key{Pool: pool, Workspace: r.Workspace})
+	if now.Sub(a.reportedAt) > 2*ReportWithin {
+		a.rebuildTill = now.Add(2 * ReportWithin)
+	}
 	a.reportedAt = now
 	b, known := a.bases[from]
 	if !known {
-		// The source reports here for the first time. Its echo rebuilds a home
-		// that was lost. A known source's echo is never looked at: it may be older
-		// than a correction downwards by another source, and would undo it.
+		// A source without a base says itself what its echo contained.
 		b.total = float64(r.EchoTotal)
-		a.value = max(a.value, float64(r.Echo))
 	}
 	if !known || r.Seq > b.seq {
-		a.value = max(0, a.value+float64(r.Total)-b.total)
+		added := a.value + float64(r.Total) - b.total
+		// An echo is told when the source comes from another home. It rebuilds a
+		// home that was lost, or that was no home for a while and missed what
+		// others reported elsewhere. A home that heard reports all the time knows
+		// better: the echo may lack corrections downwards, and would undo them.
+		echoed := 0.0
+		if r.Echo > 0 && now.Before(a.rebuildTill) {
+			echoed = float64(r.Echo) + float64(r.Total) - float64(r.EchoTotal)
+		}
+		a.value = max(0, added, echoed)
 		a.bases[from] = base{seq: r.Seq, total: float64(r.Total)}
-		a.lift(now, r)
+		a.lift(now, r, !now.Before(h.liftFrom))
 	}
 	return encoder.Account{
 		Workspace: r.Workspace,
@@ -88,11 +107,11 @@
 // lift raises a workspace that comes back from idling to the least backlogged
 // one. Only the home decides this, since only it knows whether the workspace
 // was backlogged at any other owner.
-func (a *homeAccount) lift(now time.Time, r encoder.Report) {
+func (a *homeAccount) lift(now time.Time, r encoder.Report, allowed bool) {
 	if !r.Backlogged {
 		return
 	}
-	if !now.Before(a.backloggedTill) {
+	if allowed && !now.Before(a.backloggedTill) {
 		a.value = max(a.value, float64(r.Floor))
 	}
 	a.backloggedTill = now.Add(IdleGrace)
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -97,6 +97,58 @@
 	c.Assert(got.Value, qt.Equals, uint64(1050))
 }
 
+// TestHomeThatReturnsCatchesUp keeps the case of a bug: a router was home in one
+// partition and again in a later one, and knew its sources from the first. It
+// missed what was served in between, by owners that are cut off from it now.
+func TestHomeThatReturnsCatchesUp(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	var main, spare Home
+	var a, b Ledger
+	tell := func(h *Home, name string, l *Ledger, i int) uint64 {
+		acc := h.Report(now, source(i), key.Pool, l.Report(now, key, name, 0, false))
+		l.Install(name, key.Pool, acc)
+		return acc.Value
+	}
+	a.Charge(now, key, 100)
+	tell(&main, "main", &a, 0)
+	tell(&spare, "spare", &a, 0)
+	b.Charge(now, key, 1000)
+	tell(&main, "main", &b, 1)
+	tell(&main, "main", &a, 0)
+	a.Charge(now, key, 10)
+	now = now.Add(3 * ReportWithin)
+	c.Assert(tell(&spare, "spare", &a, 0), qt.Equals, uint64(1110))
+	c.Assert(tell(&main, "main", &a, 0), qt.Equals, uint64(1110))
+}
+
+// TestEchoOfAnotherSideIsIgnored keeps the case of a bug: after a partition the
+// other side's echo, which lacked a correction, undid it.
+func TestEchoOfAnotherSideIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	var main, spare Home
+	var a, b Ledger
+	tell := func(h *Home, name string, l *Ledger, i int) uint64 {
+		acc := h.Report(now, source(i), key.Pool, l.Report(now, key, name, 0, false))
+		l.Install(name, key.Pool, acc)
+		return acc.Value
+	}
+	a.Charge(now, key, 1000)
+	tell(&main, "main", &a, 0)
+	tell(&main, "main", &b, 1)
+	a.Charge(now, key, -800)
+	b.Charge(now, key, 50)
+	tell(&main, "main", &a, 0)
+	tell(&spare, "spare", &b, 1)
+	now = now.Add(ReportWithin)
+	tell(&main, "main", &a, 0)
+	now = now.Add(ReportWithin)
+	tell(&main, "main", &a, 0)
+	now = now.Add(ReportWithin)
+	c.Assert(tell(&main, "main", &b, 1), qt.Equals, uint64(250))
+}
+
 // TestIdlingSavesUpNothing lifts a workspace that comes back, and leaves one
 // alone that was backlogged elsewhere.
 func TestIdlingSavesUpNothing(t *testing.T) {
@@ -112,4 +164,10 @@
 	now = now.Add(2 * IdleGrace)
 	r = b.Report(now, key, "home", 9000, true)
 	c.Assert(home.Report(now, source(1), key.Pool, r).Value, qt.Equals, uint64(9000))
+
+	// Just after a change of the routers nobody is lifted.
+	now = now.Add(2 * IdleGrace)
+	home.HoldLifts(now)
+	r = a.Report(now, key, "home", 20000, true)
+	c.Assert(home.Report(now, source(0), key.Pool, r).Value, qt.Equals, uint64(9000))
 }
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -33,9 +33,9 @@
 
 const (
 	// CallTimeout bounds a call; a peer that misses it is taken for cut off.
-	CallTimeout = 900 * time.Millisecond
+	CallTimeout = 800 * time.Millisecond
 	// dialTimeout bounds the opening of a connection.
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
 	// minRedial and maxRedial bound the wait before a failed peer is tried again.
 	minRedial = 100 * time.Millisecond
 	maxRedial = time.Second
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -285,14 +285,16 @@
 	}
 }
 
-// Gone frees all that a router held. Its charges stand, since the work was done
-// in part and its cost is not known.
-func (o *Owner) Gone(router string) {
+// Gone frees all that a router held. What was charged at the grant stands, since
+// the work was done in part. What accrued is taken back: a router that is only
+// cut off announces its slots to another owner, which charges the rest.
+func (o *Owner) Gone(now time.Time, router string) {
 	o.withdraw(router)
 	for _, s := range o.servers {
-		for k := range s.holds {
+		for k, h := range s.holds {
 			if k.router == router {
 				delete(s.holds, k)
+				o.Accounts.Charge(now, h.account, h.granted-h.charge)
 			}
 		}
 	}
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -56,7 +56,7 @@
 					holds = append(holds[:i], holds[i+1:]...)
 				}
 			case 5:
-				o.Gone(router)
+				o.Gone(now, router)
 				var rest []held
 				for _, h := range holds {
 					if h.router != router {
@@ -114,7 +114,7 @@
 	c.Assert(o.Free(now, testPool), qt.Equals, 0)
 	now = now.Add(minSuspend)
 	c.Assert(o.Free(now, testPool), qt.Equals, 0, qt.Commentf("one request is still held"))
-	o.Gone("a")
+	o.Gone(now, "a")
 	c.Assert(o.Free(now, testPool), qt.Equals, 1)
 	o.Register("a", k, Registration{Count: 1, Since: now, Cost: 10})
 	g := o.Schedule(now)[0]
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -206,6 +206,9 @@
 func (c *Core) SetView(now time.Time, v View) {
 	c.init()
 	old := c.places
+	if !slices.Equal(c.view.Routers, v.Routers) {
+		c.home.HoldLifts(now)
+	}
 	c.view = v
 	c.zones = map[string]string{}
 	for _, r := range v.Routers {
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -160,7 +160,7 @@
 	p.flushAt = time.Time{}
 	clear(p.told)
 	clear(p.idle)
-	c.owner.Gone(name)
+	c.owner.Gone(now, name)
 	c.schedule(now)
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -71,6 +71,42 @@
 	c.Assert(f.accountOf(1), qt.Equals, 8*500.0)
 }
 
+// TestChargesSurvivePartition cuts a router off from an owner in the middle of
+// requests; another owner takes the server over and the first is healed later.
+// Together they charge what the requests cost. What the first had accrued for
+// the router it lost used to be charged by both.
+func TestChargesSurvivePartition(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(9, 2, 2, 4)
+	for range 8 {
+		f.submit(f.names[0], 1, 600, 600)
+	}
+	for range 300 {
+		f.step()
+	}
+	c.Assert(len(f.running), qt.Equals, 8)
+	alone := f.view
+	alone.Routers = f.view.Routers[:1]
+	f.cores[f.names[0]].PeerDown(f.now, f.names[1])
+	f.cores[f.names[0]].SetView(f.now, alone)
+	other := f.view
+	other.Routers = f.view.Routers[1:]
+	f.cores[f.names[1]].PeerDown(f.now, f.names[0])
+	f.cores[f.names[1]].SetView(f.now, other)
+	for range 100 {
+		f.step()
+	}
+	for i, name := range f.names {
+		f.cores[name].PeerUp(f.now, f.names[1-i])
+		f.cores[name].SetView(f.now, f.view)
+	}
+	for range 1000 {
+		f.step()
+	}
+	c.Assert(f.finished, qt.Equals, 8)
+	c.Assert(f.accountOf(1), qt.Equals, 8*600.0)
+}
+
 // settleTime is the take-over wait at the start, which no figure includes.
 const settleTime = 2 * time.Second
 
