Keep announced slots for an owner that does not know of its server yet

Cause: routers see a partition at different times. One that sees it first announces its slots to a router that does not own the server yet; that one forgot them, lost their settlement and granted the slots again. Change: announcements are kept for 5 s; the load counts a prompt with its first token, and the bound stays.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -131,6 +131,7 @@
 	servers map[uint32]*server
 	waiting map[Account]map[string]Registration
 	rates   map[uint32]rate
+	early   map[ticketKey]earlyHold
 }
 
 // rate is the cost that a slot of a pool serves in a time, over past requests.
@@ -167,6 +168,7 @@
 		s.leaving = d.Leaving
 		o.servers[d.ID] = s
 	}
+	o.adopt(now)
 }
 
 // handOver takes back what was accrued for the slots of servers that are not
@@ -230,19 +232,23 @@
 	return floor
 }
 
-// Hold notes a slot that a router announces to this new owner. It says whether
-// the slot was not known before.
-func (o *Owner) Hold(now time.Time, router string, h encoder.Held) bool {
-	s := o.servers[h.Server]
-	if s == nil {
-		return false
-	}
+// earlyKept is how long an announcement is kept for a server that is not owned
+// here yet: the announcing router may see a change of owner first.
+const earlyKept = 5 * time.Second
+
+// earlyHold is a slot of a server that is not owned here yet.
+type earlyHold struct {
+	server uint32
+	hold   hold
+	till   time.Time
+}
+
+// Hold notes a slot of a pool's server that a router announces to this new
+// owner.
+func (o *Owner) Hold(now time.Time, router string, pool uint32, h encoder.Held) {
 	k := ticketKey{router: router, ticket: h.Ticket}
-	if _, known := s.holds[k]; known {
-		return false
-	}
-	s.holds[k] = hold{
-		account: Account{Pool: s.pool, Workspace: h.Workspace},
+	held := hold{
+		account: Account{Pool: pool, Workspace: h.Workspace},
 		// The owner before has charged this part.
 		charge:   float64(h.Charge),
 		granted:  float64(h.Charge),
@@ -250,7 +256,33 @@
 		since:    now,
 		adopted:  true,
 	}
-	return true
+	s := o.servers[h.Server]
+	if s == nil {
+		if o.early == nil {
+			o.early = map[ticketKey]earlyHold{}
+		}
+		o.early[k] = earlyHold{server: h.Server, hold: held, till: now.Add(earlyKept)}
+		return
+	}
+	if _, known := s.holds[k]; !known {
+		s.holds[k] = held
+	}
+}
+
+// adopt takes over what was announced for servers that are owned now, and drops
+// what was announced too long ago.
+func (o *Owner) adopt(now time.Time) {
+	for k, e := range o.early {
+		s := o.servers[e.server]
+		if s == nil && now.Before(e.till) {
+			continue
+		}
+		delete(o.early, k)
+		if s != nil {
+			e.hold.since = now
+			s.holds[k] = e.hold
+		}
+	}
 }
 
 // Sync replaces all that is known of a router by what it says it holds; its
@@ -272,7 +304,9 @@
 		}
 	}
 	for _, h := range held {
-		o.Hold(now, router, h)
+		if s := o.servers[h.Server]; s != nil {
+			o.Hold(now, router, s.pool, h)
+		}
 	}
 }
 
@@ -323,6 +357,10 @@
 	k := ticketKey{router: router, ticket: r.Ticket}
 	s, h, ok := o.find(k)
 	if !ok {
+		if e, early := o.early[k]; early {
+			delete(o.early, k)
+			o.Accounts.Charge(now, e.hold.account, float64(r.Cost)-e.hold.charge)
+		}
 		return
 	}
 	delete(s.holds, k)
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -121,3 +121,24 @@
 	o.Release(now, "a", encoder.Release{Ticket: g.Offer.Ticket, Cost: 10, BetweenMillis: 200})
 	c.Assert(o.Free(now, testPool), qt.Equals, 3, qt.Commentf("the limit falls below 4"))
 }
+
+// TestHoldBeforeOwnership keeps the case of a bug: a router that saw a change of
+// owner first announced its slots to a router that did not own the server yet,
+// which forgot them; their settlement was lost and the slots granted again.
+func TestHoldBeforeOwnership(t *testing.T) {
+	c := qt.New(t)
+	values := map[Account]float64{}
+	o := newOwner(values)
+	now := time.Unix(1000, 0)
+	k := Account{Pool: testPool, Workspace: 7}
+	o.Hold(now, "a", testPool, encoder.Held{Server: 1, Ticket: 5, Workspace: 7, Charge: 100})
+	o.Hold(now, "a", testPool, encoder.Held{Server: 1, Ticket: 6, Workspace: 7, Charge: 100})
+	o.Release(now, "a", encoder.Release{Ticket: 6, Cost: 300})
+	c.Assert(values[k], qt.Equals, 200.0)
+	now = now.Add(time.Second)
+	o.SetServers(now, []Server{{ID: 1, Pool: testPool, Slots: 2}}, now)
+	c.Assert(o.Free(now, testPool), qt.Equals, 1)
+	o.Release(now, "a", encoder.Release{Ticket: 5, Cost: 400})
+	c.Assert(values[k], qt.Equals, 500.0)
+	c.Assert(o.Free(now, testPool), qt.Equals, 2)
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -71,6 +71,9 @@
 	Client *http.Client
 }
 
+// charsPerToken is the rough length of a token of a prompt.
+const charsPerToken = 4
+
 // The largest values that histograms keep.
 const (
 	maxMicros = int64(time.Hour / time.Microsecond)
@@ -155,7 +158,8 @@
 // Wait returns when all requests have ended.
 func (r *Run) Wait() { r.wg.Wait() }
 
-// Service returns the tokens that each workspace has received so far.
+// Service returns the tokens that each workspace was served so far, prompts
+// and answers.
 func (r *Run) Service() map[string]float64 {
 	m := map[string]float64{}
 	for w, n := range r.service {
@@ -310,7 +314,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return r.refused(f, started, resp)
 	}
-	r.read(ctx, f, q, started, resp)
+	r.read(ctx, f, q, started, len(b)/charsPerToken, resp)
 	return 0
 }
 
@@ -365,8 +369,8 @@
 }
 
 // read follows a stream and checks that every token is the request's own and in
-// its place.
-func (r *Run) read(ctx context.Context, f Flow, q query, started time.Time, resp *http.Response) {
+// its place. Its prompt counts as service with the first token.
+func (r *Run) read(ctx context.Context, f Flow, q query, started time.Time, prompt int, resp *http.Response) {
 	s := bufio.NewScanner(resp.Body)
 	s.Buffer(make([]byte, 0, 4096), 1<<20)
 	tokens, done, failed, own := 0, false, false, true
@@ -386,10 +390,11 @@
 			continue
 		}
 		last = time.Now()
+		n := 0
 		if first.IsZero() {
 			first = last
+			r.service[f.Workspace].Add(int64(prompt))
 		}
-		n := 0
 		for _, word := range strings.Fields(e.Choices[0].Text) {
 			own = own && word == fmt.Sprintf("%s-%d", q.nonce, tokens)
 			tokens++
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -255,7 +255,7 @@
 		}
 		held := encoder.Held{Server: id.Server, Ticket: id.Ticket, Workspace: h.workspace, Charge: h.charge}
 		if p.owner == c.Name {
-			c.owner.Hold(now, c.Name, held)
+			c.owner.Hold(now, c.Name, p.Pool, held)
 			continue
 		}
 		out := c.peer(p.owner)
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -66,7 +66,7 @@
 		c.owner.Sync(now, router, m.Held)
 	} else {
 		for _, h := range m.Held {
-			c.owner.Hold(now, router, h)
+			c.owner.Hold(now, router, c.places[h.Server].Pool, h)
 		}
 	}
 	for _, r := range m.Releases {
