--- a/internal/assembler/lifecycle.go
+++ b/internal/assembler/lifecycle.go
@@ -5,7 +5,6 @@
 	"crypto/subtle"
 	"crypto/tls"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -302,6 +301,3 @@
 		next.ServeHTTP(w, r)
 	})
 }
-
-// String names the node in logs of experiments.
-func (n *node) String() string { return fmt.Sprintf("router %s", n.settings.Name) }
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -184,9 +184,6 @@
 	}
 }
 
-// Owns says whether the server is owned here.
-func (o *Owner) Owns(server uint32) bool { return o.servers[server] != nil }
-
 // Register notes what waits at a router; a count of 0 withdraws it.
 func (o *Owner) Register(router string, k Account, r Registration) {
 	if r.Count == 0 {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -61,8 +61,8 @@
 type Plan struct {
 	Flows []Flow
 	Seed  uint64
-	// Seconds is how long requests are started; Drain how long open ones may
-	// take after that.
+	// Length is how long requests are started; Drain how long open ones may take
+	// after that.
 	Length time.Duration
 	Drain  time.Duration
 	// Phases are the starts of the phases after the first one, by which the
--- a/internal/measurer/severer.go
+++ b/internal/measurer/severer.go
@@ -86,7 +86,7 @@
 	for i := range 3 {
 		m := d.Members[i]
 		before := ordinaryAt(d, ordinaryLoad/2, m.URL())
-		rest := ordinaryOthers(d, ordinaryLoad/2, i)
+		rest := backlogOthers(d, i)
 		own := loader.Start(ctx, loader.Plan{Seed: o.Seed + uint64(i), Length: part / 2, Drain: 20 * time.Second, Flows: before})
 		others := loader.Start(ctx, loader.Plan{Seed: o.Seed + 10 + uint64(i), Length: part, Drain: 20 * time.Second, Flows: rest})
 		time.Sleep(part / 2)
@@ -96,7 +96,7 @@
 			_ = m.Router.Stop(ctx)
 			close(stopped)
 		}()
-		u := watch(ctx, d, part/2)
+		u := watchFrom(ctx, d, part/2, 0)
 		longest = max(longest, u.longest)
 		own.Wait()
 		others.Wait()
@@ -130,17 +130,21 @@
 	return fs
 }
 
-// ordinaryOthers sends everyday load to all routers but one.
-func ordinaryOthers(d *demonstrator.Deployment, load float64, without int) []loader.Flow {
-	fs := ordinary(d, load)
-	for i := range fs {
-		fs[i].URLs = nil
-		for k, m := range d.Members {
-			if k != without {
-				fs[i].URLs = append(fs[i].URLs, m.URL())
-			}
+// backlogOthers keeps work waiting at all routers but one, so that an idle slot
+// shows.
+func backlogOthers(d *demonstrator.Deployment, without int) []loader.Flow {
+	var urls []string
+	for k, m := range d.Members {
+		if k != without {
+			urls = append(urls, m.URL())
 		}
 	}
+	var fs []loader.Flow
+	for i := range workspaceCount {
+		f := backlog(i, d, 0)
+		f.URLs, f.Outstanding = urls, max(2, outstandingOf(i)/len(urls))
+		fs = append(fs, f)
+	}
 	return fs
 }
 
--- a/internal/measurer/sharer.go
+++ b/internal/measurer/sharer.go
@@ -171,8 +171,8 @@
 	return false
 }
 
-// utilisation keeps all work at one router of each zone in turn, so that slots
-// of the others' servers must find it.
+// utilisation keeps all workspaces backlogged, unevenly over the routers, and
+// looks for free slots.
 func utilisation(ctx context.Context, o Options) ([]Figure, error) {
 	d, _, err := today(ctx, o)
 	if err != nil {
@@ -197,13 +197,17 @@
 
 // watch samples the engines for a while after the warm-up.
 func watch(ctx context.Context, d *demonstrator.Deployment, length time.Duration) *usage {
+	return watchFrom(ctx, d, length, warmup)
+}
+
+func watchFrom(ctx context.Context, d *demonstrator.Deployment, length, from time.Duration) *usage {
 	u := &usage{}
 	begin := time.Now()
 	last := begin
 	for time.Since(begin) < length && ctx.Err() == nil {
 		time.Sleep(utilSampleEvery)
 		now := time.Now()
-		if now.Sub(begin) > warmup {
+		if now.Sub(begin) > from {
 			u.sample(d, now, now.Sub(last))
 		}
 		last = now
