--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -97,6 +97,13 @@
 	c.Assert(got.Value, qt.Equals, uint64(1050))
 }
 
+// report tells a home of an owner's account and returns the fleet-wide value.
+func report(now time.Time, h *Home, name string, l *Ledger, i int) uint64 {
+	acc := h.Report(now, source(i), key.Pool, l.Report(now, key, name, 0, false))
+	l.Install(name, key.Pool, acc)
+	return acc.Value
+}
+
 // TestHomeThatReturnsCatchesUp keeps the case of a bug: a router was home in one
 // partition and again in a later one, and knew its sources from the first. It
 // missed what was served in between, by owners that are cut off from it now.
@@ -105,21 +112,16 @@
 	now := time.Unix(1000, 0)
 	var main, spare Home
 	var a, b Ledger
-	tell := func(h *Home, name string, l *Ledger, i int) uint64 {
-		acc := h.Report(now, source(i), key.Pool, l.Report(now, key, name, 0, false))
-		l.Install(name, key.Pool, acc)
-		return acc.Value
-	}
 	a.Charge(now, key, 100)
-	tell(&main, "main", &a, 0)
-	tell(&spare, "spare", &a, 0)
+	report(now, &main, "main", &a, 0)
+	report(now, &spare, "spare", &a, 0)
 	b.Charge(now, key, 1000)
-	tell(&main, "main", &b, 1)
-	tell(&main, "main", &a, 0)
+	report(now, &main, "main", &b, 1)
+	report(now, &main, "main", &a, 0)
 	a.Charge(now, key, 10)
 	now = now.Add(3 * ReportWithin)
-	c.Assert(tell(&spare, "spare", &a, 0), qt.Equals, uint64(1110))
-	c.Assert(tell(&main, "main", &a, 0), qt.Equals, uint64(1110))
+	c.Assert(report(now, &spare, "spare", &a, 0), qt.Equals, uint64(1110))
+	c.Assert(report(now, &main, "main", &a, 0), qt.Equals, uint64(1110))
 }
 
 // TestEchoOfAnotherSideIsIgnored keeps the case of a bug: after a partition the
@@ -129,24 +131,19 @@
 	now := time.Unix(1000, 0)
 	var main, spare Home
 	var a, b Ledger
-	tell := func(h *Home, name string, l *Ledger, i int) uint64 {
-		acc := h.Report(now, source(i), key.Pool, l.Report(now, key, name, 0, false))
-		l.Install(name, key.Pool, acc)
-		return acc.Value
-	}
 	a.Charge(now, key, 1000)
-	tell(&main, "main", &a, 0)
-	tell(&main, "main", &b, 1)
+	report(now, &main, "main", &a, 0)
+	report(now, &main, "main", &b, 1)
 	a.Charge(now, key, -800)
 	b.Charge(now, key, 50)
-	tell(&main, "main", &a, 0)
-	tell(&spare, "spare", &b, 1)
+	report(now, &main, "main", &a, 0)
+	report(now, &spare, "spare", &b, 1)
 	now = now.Add(ReportWithin)
-	tell(&main, "main", &a, 0)
+	report(now, &main, "main", &a, 0)
 	now = now.Add(ReportWithin)
-	tell(&main, "main", &a, 0)
+	report(now, &main, "main", &a, 0)
 	now = now.Add(ReportWithin)
-	c.Assert(tell(&main, "main", &b, 1), qt.Equals, uint64(250))
+	c.Assert(report(now, &main, "main", &b, 1), qt.Equals, uint64(250))
 }
 
 // TestIdlingSavesUpNothing lifts a workspace that comes back, and leaves one
--- a/internal/applier/applier.go
+++ b/internal/applier/applier.go
@@ -15,6 +15,7 @@
 	"papayapaddle/internal/declarer"
 	"papayapaddle/internal/failer"
 	"papayapaddle/internal/installer"
+	"papayapaddle/internal/pauser"
 )
 
 // Kind classifies the errors of this package.
@@ -140,7 +141,7 @@
 		if failer.KindOf[connector.Kind](err) == connector.KindConflict {
 			return a.resolve(ctx, ch)
 		}
-		if !pause(ctx) {
+		if !pauser.Pause(ctx, retryEvery) {
 			return failer.Wrap("apply", KindUnknown, fmt.Errorf("change id %s: %w", ch.ID, err))
 		}
 	}
@@ -154,7 +155,7 @@
 		if err == nil {
 			return judge(row, ch)
 		}
-		if !pause(ctx) {
+		if !pauser.Pause(ctx, retryEvery) {
 			return failer.Wrap("apply", KindUnknown, fmt.Errorf("change id %s: %w", ch.ID, err))
 		}
 	}
@@ -175,14 +176,3 @@
 	return failer.New("apply", KindLost, fmt.Sprintf(
 		"version %d changed %s; look at the difference and apply again", winner.Version, strings.Join(keys, ", ")))
 }
-
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(retryEvery)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/assembler/lifecycle.go
+++ b/internal/assembler/lifecycle.go
@@ -21,6 +21,7 @@
 	"papayapaddle/internal/failer"
 	"papayapaddle/internal/installer"
 	"papayapaddle/internal/linker"
+	"papayapaddle/internal/pauser"
 	"papayapaddle/internal/scheduler"
 	"papayapaddle/internal/tracker"
 )
@@ -153,12 +154,8 @@
 			known = l.Version
 			n.tracker.SetList(l)
 		}
-		t := time.NewTimer(listEvery)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !pauser.Pause(ctx, listEvery) {
 			return
-		case <-t.C:
 		}
 	}
 }
@@ -171,7 +168,7 @@
 	for peer := range n.tracker.Dump().Peers {
 		n.exchanger.Wake(peer)
 	}
-	wait(ctx, time.Duration(n.settings.BalancerDelay))
+	pauser.Pause(ctx, time.Duration(n.settings.BalancerDelay))
 	err := n.callers.Shutdown(ctx)
 	n.finish(ctx)
 	n.log("stopped", "err", err)
@@ -190,7 +187,7 @@
 	case <-ctx.Done():
 	}
 	// One more exchange tells the owners of the last released slots.
-	wait(ctx, 2*scheduler.LazyFlush)
+	pauser.Pause(ctx, 2*scheduler.LazyFlush)
 	n.kill()
 }
 
@@ -207,15 +204,6 @@
 	n.forwarder.Close()
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // observe counts a result.
 func (n *node) observe(res dispatcher.Result, took time.Duration) {
 	metrics.GetOrRegisterCounter("requests."+string(res.Outcome), n.metrics).Inc(1)
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -21,6 +21,7 @@
 
 	"papayapaddle/internal/connector"
 	"papayapaddle/internal/failer"
+	"papayapaddle/internal/pauser"
 )
 
 // Kind classifies the errors of this package.
@@ -225,7 +226,7 @@
 		if err != nil && failer.KindOf[Kind](err) == KindInvalid {
 			return Decision{}, err
 		}
-		if try+1 >= tries || !pause(ctx, retryEvery) {
+		if try+1 >= tries || !pauser.Pause(ctx, retryEvery) {
 			return Decision{}, failer.New("claim", KindStore, "the store did not say whether the claim was made")
 		}
 	}
@@ -300,7 +301,7 @@
 			return err
 		}
 		last = err
-		if !pause(ctx, every) {
+		if !pauser.Pause(ctx, every) {
 			break
 		}
 		every = min(2*every, maxRetryEvery)
@@ -337,14 +338,3 @@
 	}
 	return b
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -16,6 +16,7 @@
 	"papayapaddle/internal/encoder"
 	"papayapaddle/internal/failer"
 	"papayapaddle/internal/linker"
+	"papayapaddle/internal/pauser"
 )
 
 // Kind classifies the errors of this package.
@@ -166,7 +167,7 @@
 	for {
 		if l.client == nil && !l.connect(ctx) {
 			l.markDown()
-			if !wait(ctx, redial) {
+			if !pauser.Pause(ctx, redial) {
 				return
 			}
 			redial = min(2*redial, maxRedial)
@@ -182,17 +183,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (l *link) markDown() {
 	if !l.isDown {
 		l.isDown = true
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"papayapaddle/internal/pauser"
 )
 
 // Cost draws the true length of an answer in tokens.
@@ -201,14 +203,7 @@
 }
 
 func sleepTill(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pauser.Pause(ctx, time.Until(at))
 }
 
 // openLoop starts requests at seeded random times, whatever became of others.
