apply sees routers whose peers use TLS

Cause: a trial with certificates: routers spoke, callers and operators were served, but apply told both routers missing for 15 s, as it asked without TLS. Change: apply takes a certificate, key and authority; the TLS dialer moved to linker, where both use it. Conclusion: there is no automatic test of TLS yet.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/tls"
 	"encoding/binary"
 	"net"
 	"net/http"
@@ -261,33 +260,10 @@
 		return nil, err
 	}
 	return &exchanger.Exchanger{
-		Name: n.settings.Name, Incarnation: n.incarnation, Dial: tlsDial(n.controlDial(), tc),
+		Name: n.settings.Name, Incarnation: n.incarnation, Dial: linker.Secure(n.controlDial(), tc),
 	}, nil
 }
 
-// tlsDial adds TLS to a dial function.
-func tlsDial(dial linker.DialFunc, tc *tls.Config) linker.DialFunc {
-	if tc == nil {
-		return dial
-	}
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		c := tc.Clone()
-		if c.ServerName == "" {
-			c.ServerName, _, _ = net.SplitHostPort(address)
-		}
-		t := tls.Client(conn, c)
-		if err := t.HandshakeContext(ctx); err != nil {
-			conn.Close()
-			return nil, err
-		}
-		return t, nil
-	}
-}
-
 func newClaimer(n *node, p platformClients) *claimer.Claimer {
 	return &claimer.Claimer{Store: claimer.StoreOf(p.claims), Holder: holderName(n.settings.Name, n.incarnation)}
 }
--- a/internal/commander/declare.go
+++ b/internal/commander/declare.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -11,9 +12,11 @@
 	"github.com/urfave/cli/v3"
 
 	"papayapaddle/internal/applier"
+	"papayapaddle/internal/configurer"
 	"papayapaddle/internal/connector"
 	"papayapaddle/internal/declarer"
 	"papayapaddle/internal/generator"
+	"papayapaddle/internal/linker"
 )
 
 const (
@@ -120,6 +123,9 @@
 		Flags: []cli.Flag{
 			platformFlag(),
 			&cli.Uint64Flag{Name: "seen", Usage: "refuse unless this `VERSION` is still the newest"},
+			&cli.StringFlag{Name: "certificate", Usage: "certificate `FILE` towards the routers' peer listeners"},
+			&cli.StringFlag{Name: "key", Usage: "key `FILE` of the certificate"},
+			&cli.StringFlag{Name: "authority", Usage: "`FILE` with the authority that signed the routers' certificates"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			target, err := directory(c)
@@ -128,6 +134,11 @@
 			}
 			ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 			defer cancel()
+			keys := configurer.TLS{Certificate: c.String("certificate"), Key: c.String("key"), Authority: c.String("authority")}
+			tc, err := keys.Client()
+			if err != nil {
+				return err
+			}
 			a := applier.Applier{Store: store(c)}
 			base, err := a.Read(ctx)
 			if err != nil {
@@ -141,14 +152,14 @@
 				return err
 			}
 			fmt.Fprintf(out, "accepted: version %d, %d rows changed\n", res.Version, res.Changed)
-			return awaitInForce(ctx, out, a.Store, res.Version)
+			return awaitInForce(ctx, out, linker.Secure(new(net.Dialer).DialContext, tc), a.Store, res.Version)
 		},
 	}
 }
 
 // awaitInForce waits until every listed router has the version, and tells which
 // have not.
-func awaitInForce(ctx context.Context, out io.Writer, s *connector.Client, version uint64) error {
+func awaitInForce(ctx context.Context, out io.Writer, dial linker.DialFunc, s *connector.Client, version uint64) error {
 	began := time.Now()
 	l, err := s.Instances(ctx, 0)
 	if err != nil {
@@ -163,7 +174,7 @@
 	total := len(missing)
 	for {
 		for name, address := range missing {
-			if v, err := applier.Hint(ctx, address, version); err == nil && v >= version {
+			if v, err := applier.Hint(ctx, dial, address, version); err == nil && v >= version {
 				delete(missing, name)
 			}
 		}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -64,6 +65,29 @@
 // DialFunc opens a connection, like net.Dialer.DialContext.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// Secure adds TLS to a dial function; a nil configuration adds none.
+func Secure(dial DialFunc, tc *tls.Config) DialFunc {
+	if tc == nil {
+		return dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		c := tc.Clone()
+		if c.ServerName == "" {
+			c.ServerName, _, _ = net.SplitHostPort(address)
+		}
+		t := tls.Client(conn, c)
+		if err := t.HandshakeContext(ctx); err != nil {
+			conn.Close()
+			return nil, err
+		}
+		return t, nil
+	}
+}
+
 // pollEvery is how often a stalled connection looks whether it is released.
 const pollEvery = 5 * time.Millisecond
 
--- a/internal/measurer/severer.go
+++ b/internal/measurer/severer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"sync"
 	"time"
@@ -346,7 +347,7 @@
 		w.note(name, res, err)
 		if err == nil {
 			// As papayapaddle apply does; a router that is gone does not matter.
-			_, _ = applier.Hint(commit, d.Members[i%len(d.Members)].Peers, res.Version)
+			_, _ = applier.Hint(commit, new(net.Dialer).DialContext, d.Members[i%len(d.Members)].Peers, res.Version)
 		}
 		cancel()
 		time.Sleep(time.Duration(20+rng.IntN(60)) * time.Millisecond)
