A hard stop tells callers the truth before it closes

Cause: on a second signal the application's stop returned without waiting for its hook, and connections were closed before requests were ended: a caller saw its connection cut and was told nothing. Change: the hook gets the context that bounds the wait; when it ends, requests are ended, callers have two seconds to be told, then all is closed. Shown failing first: as separate processes, curl got 000 and no body; the new test got no 502. After: 502 with outcome unknown, by hand and in TestHardStopTellsTheTruth.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -49,6 +49,8 @@
 	listEvery = 2500 * time.Millisecond
 	// stopTimeout bounds a graceful shutdown; the longest request fits.
 	stopTimeout = 70 * time.Minute
+	// abortWait is how long callers whose requests were ended may take to be told.
+	abortWait = 2 * time.Second
 	// startTimeout bounds the start.
 	startTimeout = 15 * time.Second
 )
@@ -98,6 +100,8 @@
 	kick     chan struct{}
 	draining atomic.Bool
 	cancel   context.CancelFunc
+	// stopping bounds the wait for open requests at the stop.
+	stopping context.Context
 	// requests is the parent of every request's context.
 	requests context.Context
 	abort    context.CancelFunc
@@ -136,23 +140,18 @@
 // Start opens the listeners and starts all parts.
 func (r *Router) Start(ctx context.Context) error { return r.app.Start(ctx) }
 
-// Stop shuts down gracefully: every accepted request is finished first, unless
-// the context ends before.
-func (r *Router) Stop(ctx context.Context) error { return r.app.Stop(ctx) }
+// Stop shuts down gracefully: every accepted request is finished first. Once the
+// context ends, the open ones are ended and told their true outcome.
+func (r *Router) Stop(ctx context.Context) error {
+	// The application would return at the end of its context without waiting for
+	// its hooks, so the hook gets the context and the application none.
+	r.node.stopping = ctx
+	return r.app.Stop(context.WithoutCancel(ctx))
+}
 
 // Kill ends the router at once, as a crash would; for experiments.
 func (r *Router) Kill() { r.node.kill() }
 
-// Abort ends all requests with their true outcome, waits a moment for callers
-// to be told, and closes.
-func (r *Router) Abort(d time.Duration) {
-	r.node.abort()
-	ctx, cancel := context.WithTimeout(context.Background(), d)
-	defer cancel()
-	_ = r.node.callers.Shutdown(ctx)
-	r.node.kill()
-}
-
 // Ready returns why the router is not ready, or nil.
 func (r *Router) Ready() error { return r.node.ready() }
 
--- a/internal/assembler/lifecycle.go
+++ b/internal/assembler/lifecycle.go
@@ -161,7 +161,8 @@
 }
 
 // stop shuts down gracefully.
-func (n *node) stop(ctx context.Context) error {
+func (n *node) stop(context.Context) error {
+	ctx := n.stopping
 	n.log("stopping", "active", n.acceptor.Active())
 	n.draining.Store(true)
 	n.tracker.Stop()
@@ -170,6 +171,13 @@
 	}
 	pauser.Pause(ctx, time.Duration(n.settings.BalancerDelay))
 	err := n.callers.Shutdown(ctx)
+	if err != nil {
+		n.abort()
+		short, cancel := context.WithTimeout(context.Background(), abortWait)
+		defer cancel()
+		// Callers who are not told by then see their connection cut.
+		_ = n.callers.Shutdown(short)
+	}
 	n.finish(ctx)
 	n.log("stopped", "err", err)
 	return err
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
@@ -68,10 +67,6 @@
 	}
 }
 
-// hardStopWait is how long a second signal gives open requests to be told
-// their outcome.
-const hardStopWait = 2 * time.Second
-
 func routerCommand(logger log.Logger) *cli.Command {
 	return &cli.Command{
 		Name: "router", Usage: "run one router",
@@ -104,7 +99,6 @@
 	defer stop()
 	err := r.Stop(hard)
 	if hard.Err() != nil {
-		r.Abort(hardStopWait)
 		return errors.New("stopped before all requests were finished")
 	}
 	return err
--- a/internal/demonstrator/demonstrator_test.go
+++ b/internal/demonstrator/demonstrator_test.go
@@ -105,3 +105,28 @@
 		c.Assert(h.Get("Content-Type"), qt.Equals, "application/problem+json")
 	}
 }
+
+// TestHardStopTellsTheTruth keeps the case of a bug: a stop that may not wait
+// closed the connections before callers were told what became of their requests.
+func TestHardStopTellsTheTruth(t *testing.T) {
+	c := qt.New(t)
+	d := start(c, 1)
+	type told struct {
+		status int
+		body   string
+	}
+	answer := make(chan told)
+	go func() {
+		status, _, body := call(c, "POST", d.Members[0].URL()+"/v1/completions", "", `{"model":"papaya-chat","max_tokens":20000}`)
+		answer <- told{status, body}
+	}()
+	for d.Members[0].Router.Dump().Scheduling.HeldSlots == 0 {
+		<-time.After(10 * time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	go d.Members[0].Router.Stop(ctx)
+	got := <-answer
+	c.Assert(got.status, qt.Equals, http.StatusBadGateway)
+	c.Assert(strings.Contains(got.body, `"outcome":"unknown"`), qt.IsTrue, qt.Commentf(got.body))
+}
