Read again: a test that could not fail, a comment that promised too much

Cause: TestTakeOverWouldRunTwice tested a function of its own; partition's comment told of a kill that it does not do; one loop stood three times. Change: the test asks the stand-in that checks fencing numbers; the comment is true; backlogAll serves the three experiments. Conclusion: no behaviour of the product changed.

--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"papayapaddle/internal/connector"
+	"papayapaddle/internal/emulator"
 	"papayapaddle/internal/failer"
 )
 
@@ -171,22 +174,29 @@
 	}
 }
 
-// TestTakeOverWouldRunTwice shows why a claim of a dead holder is not taken
-// over, not even with a higher fencing number: the number keeps a late order
-// from running, not one that has run.
+// TestTakeOverWouldRunTwice shows, at the stand-in that checks fencing numbers,
+// why a claim of a dead holder is not taken over: a higher number keeps a late
+// order from running, not one that has run.
 func TestTakeOverWouldRunTwice(t *testing.T) {
 	c := qt.New(t)
-	fence, runs := 0, 0
-	server := func(number int) {
-		if number >= fence {
-			fence = number
-			runs++
-		}
+	ledger := &emulator.Ledger{}
+	service := emulator.NewService("booking", 1, ledger)
+	service.ChecksFencing = true
+	send := func(number string) int {
+		r := httptest.NewRequest(http.MethodPost, "/visits", nil)
+		r.Header.Set("Idempotency-Key", "k")
+		r.Header.Set("Fencing-Number", number)
+		w := httptest.NewRecorder()
+		service.ServeHTTP(w, r)
+		return w.Code
 	}
-	server(1) // The first holder dispatches and dies before it records.
-	server(2) // Who takes over dispatches with a higher number.
-	server(1) // Only the late repetition is kept out.
-	c.Assert(runs, qt.Equals, 2)
+	// The first holder sends and dies before it records.
+	c.Assert(send("1"), qt.Equals, http.StatusOK)
+	// Who took over would send with a higher number.
+	c.Assert(send("2"), qt.Equals, http.StatusOK)
+	// Only what comes late is kept out.
+	c.Assert(send("1"), qt.Equals, http.StatusPreconditionFailed)
+	c.Assert(ledger.Runs(), qt.HasLen, 2)
 }
 
 // TestRecordIsRepeated checks that a second call gets the recorded answer byte
--- a/internal/measurer/flooder.go
+++ b/internal/measurer/flooder.go
@@ -147,11 +147,7 @@
 	run := loader.Start(ctx, loader.Plan{Seed: o.Seed, Length: third, Drain: drainTime, Flows: ordinary(d, ordinaryLoad)})
 	busy := controlRate(d, third)
 	run.Wait()
-	plan := loader.Plan{Seed: o.Seed, Length: third, Drain: drainTime}
-	for i := range workspaceCount {
-		plan.Flows = append(plan.Flows, backlog(i, d, outstandingOf(i)))
-	}
-	run = loader.Start(ctx, plan)
+	run = loader.Start(ctx, loader.Plan{Seed: o.Seed, Length: third, Drain: drainTime, Flows: backlogAll(d)})
 	flooded := controlRate(d, third)
 	run.Wait()
 	return []Figure{
--- a/internal/measurer/severer.go
+++ b/internal/measurer/severer.go
@@ -156,20 +156,18 @@
 const lastHealAt = 0.65
 
 // partition cuts one router off from the others, then a zone, then halves the
-// fleet, under a backlog, heals each time, and kills a router.
+// fleet, under a backlog, and heals each time.
 func partition(ctx context.Context, o Options) ([]Figure, error) {
 	d, n, err := today(ctx, o)
 	if err != nil {
 		return nil, err
 	}
 	defer d.Close()
-	plan := loader.Plan{Seed: o.Seed, Length: o.Length, Drain: drainTime}
 	var throughout []int
 	for i := range workspaceCount {
-		plan.Flows = append(plan.Flows, backlog(i, d, outstandingOf(i)))
 		throughout = append(throughout, i)
 	}
-	run := loader.Start(ctx, plan)
+	run := loader.Start(ctx, loader.Plan{Seed: o.Seed, Length: o.Length, Drain: drainTime, Flows: backlogAll(d)})
 	var mu sync.Mutex
 	var idle time.Duration
 	eighth := o.Length / 8
--- a/internal/measurer/sharer.go
+++ b/internal/measurer/sharer.go
@@ -37,6 +37,15 @@
 	return int(4 * share)
 }
 
+// backlogAll keeps every workspace backlogged.
+func backlogAll(d *demonstrator.Deployment) []loader.Flow {
+	var fs []loader.Flow
+	for i := range workspaceCount {
+		fs = append(fs, backlog(i, d, outstandingOf(i)))
+	}
+	return fs
+}
+
 // gap returns the largest difference of weighted service between the named
 // workspaces, counted from a base.
 func gap(now, base map[string]float64, of []int) float64 {
@@ -179,11 +188,7 @@
 		return nil, err
 	}
 	defer d.Close()
-	plan := loader.Plan{Seed: o.Seed, Length: o.Length, Drain: drainTime}
-	for i := range workspaceCount {
-		plan.Flows = append(plan.Flows, backlog(i, d, outstandingOf(i)))
-	}
-	run := loader.Start(ctx, plan)
+	run := loader.Start(ctx, loader.Plan{Seed: o.Seed, Length: o.Length, Drain: drainTime, Flows: backlogAll(d)})
 	u := watch(ctx, d, o.Length)
 	run.Wait()
 	total := run.Total()
