--- /dev/null
+++ b/internal/admitter/admitter.go
@@ -0,0 +1,407 @@
+// Package admitter decides, for the model servers that a router owns, which
+// request begins next, which waits, and which is turned away at once.
+//
+// Engines admit in order of arrival and know no urgency, so a queue inside an
+// engine makes everything in it late. The owner of a server therefore hands
+// over only what the engine is about to read, and keeps the rest in its own
+// order: first the workspaces that were granted least lately across the fleet,
+// inside a workspace what is wanted soonest. What cannot begin in time any more
+// is refused at once.
+//
+// The package does no I/O and reads no clock.
+package admitter
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// placeShare is the part of an engine's places that is used: with more
+	// requests in one batch each token takes longer, and long answers miss their
+	// deadline.
+	placeShare = 0.6
+	// memoryShare is the part of an engine's memory that running requests may
+	// need; beyond it the engine would preempt them.
+	memoryShare = 0.9
+	// cacheShare is the part of an engine's memory that is taken to keep prompts.
+	cacheShare = 0.5
+	// readAhead is how much reading an engine is given in advance, so that it does
+	// not idle for the time of a round trip.
+	readAhead = 60 * time.Millisecond
+	// firstOverhead is the time of a first event beyond the reading: a step, and
+	// the way there and back.
+	firstOverhead = 40 * time.Millisecond
+	// initialReadRate is the reading speed in tokens a second before any was
+	// measured; min and max bound what is learned.
+	initialReadRate = 40_000
+	minReadRate     = 2_000
+	maxReadRate     = 1_000_000
+	// minLearnTokens is the least reading from which a speed can be told.
+	minLearnTokens = 500
+	// maxRateStep bounds what one measurement says, rateSmoothing its weight.
+	maxRateStep   = 3
+	rateSmoothing = 0.05
+	// freeSmoothing is the weight of the newest time between two freed places.
+	freeSmoothing = 0.2
+	// failuresToSuspend is the number of failures in a row that suspend a server.
+	failuresToSuspend = 3
+	// minSuspend and maxSuspend bound how long a failing server gets no work.
+	minSuspend = time.Second
+	maxSuspend = 8 * time.Second
+	// answerWeight is what a token of an answer counts for in shares.
+	answerWeight = 2
+	// shareStep is the ratio of usage from which one workspace goes before
+	// another; closer ones count as equal.
+	shareStep = 1.25
+	// holdSlack is how long after its deadline a hold is given up whose router
+	// did not settle it.
+	holdSlack = time.Second
+	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
+	minRetryAfter = 300 * time.Millisecond
+	maxRetryAfter = 8 * time.Second
+)
+
+// Engine describes a model server.
+type Engine struct {
+	ID           string
+	Slots        int
+	MemoryTokens int
+}
+
+// Ask is a request for a place on one server.
+type Ask struct {
+	// Router and ID name the ask.
+	Router    string
+	ID        uint64
+	Workspace string
+	Engine    Engine
+	// Prompt is the number of tokens of the prompt, made up of Parts; Answer the
+	// expected number of the answer.
+	Prompt int
+	Parts  []Part
+	Answer int
+	// FirstBy is when the first event should be there, Deadline when the whole
+	// answer has to be.
+	FirstBy  time.Time
+	Deadline time.Time
+	Arrived  time.Time
+}
+
+// cost is what the ask counts for in shares.
+func (a *Ask) cost() float64 { return float64(a.Prompt) + answerWeight*float64(a.Answer) }
+
+// Reason says why an ask was refused.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonShare: the workspace uses more than others, who wait too.
+	ReasonShare Reason = "over-share"
+	// ReasonLate: the first event would come too late.
+	ReasonLate Reason = "too-late"
+	// ReasonSuspended: the server keeps failing.
+	ReasonSuspended Reason = "server-suspended"
+)
+
+// Decision is the answer to an ask, with what decided it.
+type Decision struct {
+	Ask     *Ask
+	Granted bool
+	Reason  Reason
+	// RetryAfter is when the ask would probably be granted.
+	RetryAfter time.Duration
+	// Running, Waiting and Backlog are the server's at the decision.
+	Running int
+	Waiting int
+	Backlog time.Duration
+	// Usage and Mean are what the workspace and the mean one were granted lately,
+	// in tokens.
+	Usage float64
+	Mean  float64
+}
+
+// Outcome is what a router tells of a granted request.
+type Outcome struct {
+	Router string
+	ID     uint64
+	Server string
+	// First says that the first event came, Done that the request ended.
+	First bool
+	Done  bool
+	// Failed says that the server failed it.
+	Failed bool
+	// Gap is the mean time between two tokens, 0 if unknown.
+	Gap time.Duration
+}
+
+// Admitter holds the models of the owned servers. Fade must be set: the span
+// over which past grants are forgotten. It is not safe for concurrent use.
+type Admitter struct {
+	Fade time.Duration
+
+	engines map[string]*engine
+	usage   usage
+	out     []Decision
+}
+
+func (a *Admitter) engine(d Engine) *engine {
+	if a.engines == nil {
+		a.engines = map[string]*engine{}
+		a.usage.fade = a.Fade
+	}
+	e := a.engines[d.ID]
+	if e == nil {
+		e = newEngine(d)
+		a.engines[d.ID] = e
+	}
+	e.Engine = d
+	return e
+}
+
+// Ask takes an ask in. Its decision comes out of Take now or later.
+func (a *Admitter) Ask(now time.Time, k *Ask) {
+	e := a.engine(k.Engine)
+	if now.Before(e.suspended) {
+		a.refuse(now, e, k, ReasonSuspended, e.suspended.Sub(now))
+		return
+	}
+	e.queue = append(e.queue, k)
+	a.schedule(now, e)
+}
+
+// Cancel drops an ask that waits or a hold whose router does not want it.
+func (a *Admitter) Cancel(now time.Time, server, router string, id uint64) {
+	e := a.engines[server]
+	if e == nil {
+		return
+	}
+	for i, k := range e.queue {
+		if k.Router == router && k.ID == id {
+			e.queue = slices.Delete(e.queue, i, i+1)
+			return
+		}
+	}
+	a.release(now, e, holdKey{router, id})
+	a.schedule(now, e)
+}
+
+// release ends a hold and takes back the charge for one that did not begin.
+func (a *Admitter) release(now time.Time, e *engine, k holdKey) {
+	if h := e.end(now, k); h != nil && !h.started {
+		a.usage.charge(now, h.ask.Workspace, -h.ask.cost())
+	}
+}
+
+// Settle takes an outcome in.
+func (a *Admitter) Settle(now time.Time, o Outcome) {
+	e := a.engines[o.Server]
+	if e == nil {
+		return
+	}
+	k := holdKey{o.Router, o.ID}
+	h := e.holds[k]
+	if h == nil {
+		return
+	}
+	if o.First {
+		e.first(now, h)
+		e.worked()
+	}
+	if o.Gap > 0 {
+		e.learnGap(o.Gap)
+	}
+	if o.Failed {
+		e.failed(now)
+	}
+	if o.Done {
+		a.release(now, e, k)
+	}
+	a.schedule(now, e)
+}
+
+// learnGap smooths the time between tokens.
+func (e *engine) learnGap(g time.Duration) {
+	if e.gap == 0 {
+		e.gap = g
+	}
+	e.gap += time.Duration(freeSmoothing * float64(g-e.gap))
+}
+
+// Tick refuses what has waited too long, and gives up holds of routers that did
+// not settle them.
+func (a *Admitter) Tick(now time.Time) {
+	for _, e := range a.engines {
+		for k, h := range e.holds {
+			if now.After(h.ask.Deadline.Add(holdSlack)) {
+				a.release(now, e, k)
+			}
+		}
+		a.schedule(now, e)
+	}
+}
+
+// Forget drops the asks and holds of a router that is gone.
+func (a *Admitter) Forget(now time.Time, router string) {
+	for _, e := range a.engines {
+		e.queue = slices.DeleteFunc(e.queue, func(k *Ask) bool { return k.Router == router })
+		for k := range e.holds {
+			if k.router == router {
+				e.end(now, k)
+			}
+		}
+		a.schedule(now, e)
+	}
+	delete(a.usage.peers, router)
+}
+
+// Remove drops a server that is gone.
+func (a *Admitter) Remove(now time.Time, server string) {
+	e := a.engines[server]
+	if e == nil {
+		return
+	}
+	for _, k := range e.queue {
+		a.refuse(now, e, k, ReasonSuspended, minRetryAfter)
+	}
+	delete(a.engines, server)
+}
+
+// schedule grants what can begin and refuses what cannot begin in time.
+func (a *Admitter) schedule(now time.Time, e *engine) {
+	if len(e.queue) == 0 {
+		return
+	}
+	a.sort(now, e)
+	for len(e.queue) > 0 && e.open(now, e.queue[0]) {
+		k := e.queue[0]
+		e.queue = e.queue[1:]
+		a.usage.charge(now, k.Workspace, k.cost())
+		e.grant(now, k)
+		a.decide(now, e, Decision{Ask: k, Granted: true})
+		a.sort(now, e)
+	}
+	a.shed(now, e)
+}
+
+// sort orders the queue: by the workspaces' usage in steps, then by when the
+// first event is wanted.
+func (a *Admitter) sort(now time.Time, e *engine) {
+	steps := map[string]int{}
+	for _, k := range e.queue {
+		if _, ok := steps[k.Workspace]; !ok {
+			steps[k.Workspace] = int(math.Log(1+a.usage.of(now, k.Workspace)) / math.Log(shareStep))
+		}
+	}
+	slices.SortStableFunc(e.queue, func(x, y *Ask) int {
+		return cmp.Or(cmp.Compare(steps[x.Workspace], steps[y.Workspace]), x.FirstBy.Compare(y.FirstBy))
+	})
+}
+
+// shed refuses each waiting ask that, after those before it, would begin too
+// late. An ask that was late when it came waits for nothing either.
+func (a *Admitter) shed(now time.Time, e *engine) {
+	at := now.Add(e.backlog(now))
+	keep := e.queue[:0]
+	over := len(e.holds) - e.places() + 1
+	for _, k := range e.queue {
+		reading := e.readTime(e.memory.missing(k.Prompt, k.Parts))
+		begin := at
+		if n := over + len(keep); n > 0 {
+			if free := now.Add(time.Duration(n) * e.freeEvery); free.After(begin) {
+				begin = free
+			}
+		}
+		if now.Before(e.suspended) && begin.Before(e.suspended) {
+			begin = e.suspended
+		}
+		// A long prompt is not refused for its length alone: the larger half of the
+		// objective is for reading, however much there is to read.
+		allowed := min(reading+firstOverhead, k.FirstBy.Sub(k.Arrived)/2)
+		if begin.Add(allowed).After(k.FirstBy) {
+			reason := ReasonLate
+			if a.usage.of(now, k.Workspace) > a.usage.mean(now) {
+				reason = ReasonShare
+			}
+			a.refuse(now, e, k, reason, begin.Sub(now)+e.wait(now))
+			continue
+		}
+		keep = append(keep, k)
+		at = begin.Add(reading)
+	}
+	e.queue = keep
+}
+
+func (a *Admitter) refuse(now time.Time, e *engine, k *Ask, reason Reason, wait time.Duration) {
+	a.decide(now, e, Decision{Ask: k, Reason: reason, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)})
+}
+
+func (a *Admitter) decide(now time.Time, e *engine, d Decision) {
+	d.Running, d.Waiting, d.Backlog = len(e.holds), len(e.queue), e.backlog(now)
+	d.Usage, d.Mean = a.usage.of(now, d.Ask.Workspace), a.usage.mean(now)
+	a.out = append(a.out, d)
+}
+
+// Take returns the decisions since the last call.
+func (a *Admitter) Take() []Decision {
+	out := a.out
+	a.out = nil
+	return out
+}
+
+// Granted returns what this router granted each workspace lately, in tokens.
+func (a *Admitter) Granted(now time.Time) map[string]float64 {
+	a.usage.fade = a.Fade
+	return a.usage.granted(now)
+}
+
+// Heard takes in what a peer granted each workspace lately.
+func (a *Admitter) Heard(now time.Time, peer string, grants map[string]float64) {
+	a.usage.fade = a.Fade
+	a.usage.set(now, peer, grants)
+}
+
+// Load is how long a new request would wait at a server.
+type Load struct {
+	Server string
+	Wait   time.Duration
+	// Suspended says that the server gets no work.
+	Suspended bool
+}
+
+// Loads lists the load of the known servers.
+func (a *Admitter) Loads(now time.Time) []Load {
+	out := make([]Load, 0, len(a.engines))
+	for id, e := range a.engines {
+		out = append(out, Load{Server: id, Wait: e.wait(now), Suspended: now.Before(e.suspended)})
+	}
+	slices.SortFunc(out, func(x, y Load) int { return cmp.Compare(x.Server, y.Server) })
+	return out
+}
+
+// State is one server in a dump.
+type State struct {
+	Server   string  `json:"server"`
+	Running  int     `json:"running"`
+	Waiting  int     `json:"waiting"`
+	Places   int     `json:"places"`
+	ReadRate float64 `json:"read-tokens-per-second"`
+	GapMS    float64 `json:"gap-ms"`
+	Failures int     `json:"failures"`
+	WaitMS   float64 `json:"wait-ms"`
+}
+
+// Dump lists the servers for operators.
+func (a *Admitter) Dump(now time.Time) []State {
+	var out []State
+	for id, e := range a.engines {
+		out = append(out, State{
+			Server: id, Running: len(e.holds), Waiting: len(e.queue), Places: e.places(), ReadRate: e.readRate,
+			GapMS: e.gap.Seconds() * 1000, Failures: e.failures, WaitMS: e.wait(now).Seconds() * 1000,
+		})
+	}
+	slices.SortFunc(out, func(x, y State) int { return cmp.Compare(x.Server, y.Server) })
+	return out
+}
--- /dev/null
+++ b/internal/admitter/engine.go
@@ -0,0 +1,226 @@
+package admitter
+
+import (
+	"time"
+)
+
+// holdKey names a granted request; ids are unique within a router only.
+type holdKey struct {
+	router string
+	id     uint64
+}
+
+// hold is a granted request.
+type hold struct {
+	ask *Ask
+	// reading is the number of prompt tokens that the engine had to read.
+	reading   int
+	grantedAt time.Time
+	// firstBy is when the first event was expected at the grant.
+	firstBy time.Time
+	started bool
+}
+
+// engine is the model of one backend server: what it still has to read, how
+// many requests it runs, and how fast it was lately.
+type engine struct {
+	Engine
+	memory memory
+	holds  map[holdKey]*hold
+	// order lists the holds that have not begun, oldest first, as the server
+	// admits in that order.
+	order []*hold
+	queue []*Ask
+	// busyTill is when the engine will have read all granted prompts.
+	busyTill time.Time
+	// paceTill keeps the share of time spent on prompts within bounds; see
+	// paceRate.
+	paceTill time.Time
+	// readRate is the engine's reading speed in tokens a second, learned.
+	readRate float64
+	// paceRate is the rate in tokens a second at which prompts are handed over.
+	paceRate float64
+	// gap is the smoothed time between two tokens of a stream.
+	gap time.Duration
+	// freedAt and freeEvery tell how often a place becomes free.
+	freedAt   time.Time
+	freeEvery time.Duration
+
+	failures  int
+	suspended time.Time
+	penalty   time.Duration
+}
+
+func newEngine(e Engine) *engine {
+	return &engine{
+		Engine:   e,
+		memory:   memory{capacity: int(float64(e.MemoryTokens) * cacheShare)},
+		holds:    map[holdKey]*hold{},
+		readRate: initialReadRate,
+		paceRate: initialReadRate,
+	}
+}
+
+// places is the number of requests that the engine may run at the same time.
+func (e *engine) places() int { return max(1, int(float64(e.Slots)*placeShare)) }
+
+// backlog is how long the engine has still to read.
+func (e *engine) backlog(now time.Time) time.Duration { return max(0, e.busyTill.Sub(now)) }
+
+// tokensHeld is the memory that running requests need at most.
+func (e *engine) tokensHeld() int {
+	n := 0
+	for _, h := range e.holds {
+		n += h.ask.Prompt + h.ask.Answer
+	}
+	return n
+}
+
+// open says whether the engine could begin a request now.
+func (e *engine) open(now time.Time, a *Ask) bool {
+	if now.Before(e.suspended) {
+		return false
+	}
+	n := len(e.holds)
+	if n == 0 {
+		return true
+	}
+	if e.failures >= failuresToSuspend {
+		// After a suspension one request finds out whether the server works again.
+		return false
+	}
+	if n >= e.places() || e.backlog(now) > readAhead || e.paceTill.Sub(now) > readAhead {
+		return false
+	}
+	return e.MemoryTokens == 0 || e.tokensHeld()+a.Prompt+a.Answer <= int(float64(e.MemoryTokens)*memoryShare)
+}
+
+func (e *engine) readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / e.readRate * float64(time.Second))
+}
+
+// grant hands a request to the engine.
+func (e *engine) grant(now time.Time, a *Ask) *hold {
+	h := &hold{ask: a, reading: e.memory.missing(a.Prompt, a.Parts), grantedAt: now}
+	e.memory.read(now, a.Parts)
+	if e.busyTill.Before(now) {
+		e.busyTill = now
+	}
+	e.busyTill = e.busyTill.Add(e.readTime(h.reading))
+	if e.paceTill.Before(now) {
+		e.paceTill = now
+	}
+	e.paceTill = e.paceTill.Add(time.Duration(float64(h.reading) / e.paceRate * float64(time.Second)))
+	h.firstBy = e.busyTill.Add(firstOverhead)
+	e.holds[holdKey{a.Router, a.ID}] = h
+	e.order = append(e.order, h)
+	return h
+}
+
+// first notes a request's first event: the engine has read all prompts up to
+// this one, which tells how far it is and how fast it was.
+func (e *engine) first(now time.Time, h *hold) {
+	if h.started {
+		return
+	}
+	h.started = true
+	e.learnRate(now, h)
+	left := 0
+	keep := e.order[:0]
+	passed := false
+	for _, o := range e.order {
+		switch {
+		case o == h:
+			passed = true
+		case !passed && !o.started:
+			// An earlier one: its event is on its way.
+			keep = append(keep, o)
+		case !o.started:
+			left += o.reading
+			keep = append(keep, o)
+		}
+	}
+	e.order = keep
+	e.busyTill = now.Add(e.readTime(left))
+}
+
+// learnRate moves the reading speed towards what the prediction was off by.
+func (e *engine) learnRate(now time.Time, h *hold) {
+	if h.reading < minLearnTokens {
+		return
+	}
+	predicted := h.firstBy.Sub(h.grantedAt) - firstOverhead
+	took := now.Sub(h.grantedAt) - firstOverhead
+	if predicted <= 0 || took <= 0 {
+		return
+	}
+	off := float64(predicted) / float64(took)
+	off = min(max(off, 1/maxRateStep), maxRateStep)
+	e.readRate = min(max(e.readRate*(1+rateSmoothing*(off-1)), minReadRate), maxReadRate)
+}
+
+// end takes a hold back.
+func (e *engine) end(now time.Time, k holdKey) *hold {
+	h := e.holds[k]
+	if h == nil {
+		return nil
+	}
+	if len(e.holds) >= e.places() {
+		if !e.freedAt.IsZero() {
+			every := now.Sub(e.freedAt)
+			e.freeEvery += time.Duration(freeSmoothing * float64(every-e.freeEvery))
+		}
+		e.freedAt = now
+	} else {
+		e.freedAt = time.Time{}
+	}
+	delete(e.holds, k)
+	if !h.started {
+		e.unread(now, h)
+	}
+	return h
+}
+
+// unread takes back what a request that ended before its first event would
+// still have had read.
+func (e *engine) unread(now time.Time, h *hold) {
+	for i, o := range e.order {
+		if o == h {
+			e.order = append(e.order[:i], e.order[i+1:]...)
+			break
+		}
+	}
+	if len(e.order) == 0 {
+		e.busyTill = now
+	}
+}
+
+// failed counts a failure; some in a row suspend the server for a while.
+func (e *engine) failed(now time.Time) {
+	e.failures++
+	if e.failures < failuresToSuspend {
+		return
+	}
+	e.penalty = min(max(e.penalty*2, minSuspend), maxSuspend)
+	e.suspended = now.Add(e.penalty)
+}
+
+func (e *engine) worked() {
+	e.failures = 0
+	e.penalty = 0
+}
+
+// wait estimates when a new request of so many tokens would have been read.
+func (e *engine) wait(now time.Time) time.Duration {
+	w := e.backlog(now)
+	for _, a := range e.queue {
+		w += e.readTime(e.memory.missing(a.Prompt, a.Parts))
+	}
+	if n := len(e.holds) + len(e.queue) - e.places(); n >= 0 {
+		w = max(w, time.Duration(n+1)*e.freeEvery)
+	}
+	if now.Before(e.suspended) {
+		w = max(w, e.suspended.Sub(now))
+	}
+	return w
+}
--- /dev/null
+++ b/internal/allocator/allocator.go
@@ -0,0 +1,340 @@
+// Package allocator finds a place on a model server: it steers a prompt to a
+// server, asks the router that owns the server, and tells it how the request
+// went. For the servers that this router owns it drives the admitter.
+package allocator
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"papayapaddle/internal/admitter"
+	"papayapaddle/internal/cataloger"
+	"papayapaddle/internal/failer"
+	"papayapaddle/internal/messenger"
+	"papayapaddle/internal/steerer"
+)
+
+const (
+	// tickEvery is the period of admitter.Tick.
+	tickEvery = 20 * time.Millisecond
+	// askMargin is how long after the first event is wanted an owner may answer;
+	// one that is later has lost the ask.
+	askMargin = 60 * time.Millisecond
+	// owners is the number of routers that are asked before this one decides
+	// alone.
+	owners = 2
+	// retryNoServer is told when a service has no server.
+	retryNoServer = time.Second
+)
+
+// Need is what a request needs of a model server.
+type Need struct {
+	Workspace string
+	Service   *cataloger.Service
+	Prompt    int
+	Parts     []admitter.Part
+	Answer    int
+	Steer     steerer.Prompt
+	Arrived   time.Time
+	FirstBy   time.Time
+	Deadline  time.Time
+	Exclude   []string
+}
+
+// Place is a granted place.
+type Place struct {
+	Server *cataloger.Server
+
+	a     *Allocator
+	id    uint64
+	owner messenger.Peer
+	once  sync.Once
+}
+
+// Refusal is why there is no place, with the owner's inputs.
+type Refusal struct {
+	Reason admitter.Reason
+	Server string
+	Owner  string
+	Reply  messenger.AskReply
+	// Asks is the number of owners that were asked.
+	Asks int
+	// RetryAfter is when to come back.
+	RetryAfter time.Duration
+}
+
+// The reasons of refusals that no owner gave.
+const (
+	ReasonNoServer admitter.Reason = "no-server"
+	ReasonCanceled admitter.Reason = "caller-gone"
+)
+
+// Allocator allocates for one router. All fields must be set.
+type Allocator struct {
+	Self      messenger.Peer
+	Roster    *messenger.Roster
+	Messenger *messenger.Messenger
+	// Servers lists the servers of a service that may get work.
+	Servers func(service string) []*cataloger.Server
+	Log     func(event string, keyvals ...any)
+
+	mu       sync.Mutex
+	Admitter admitter.Admitter
+	waiters  map[waiterKey]chan admitter.Decision
+
+	loadsMu sync.RWMutex
+	loads   map[string]steerer.Load
+}
+
+type waiterKey struct {
+	router string
+	id     uint64
+}
+
+// Run ticks until the context ends.
+func (a *Allocator) Run(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			a.do(func(now time.Time, ad *admitter.Admitter) { ad.Tick(now) })
+		}
+	}
+}
+
+// do runs one event under the lock and hands out what was decided.
+func (a *Allocator) do(f func(now time.Time, ad *admitter.Admitter)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f(time.Now(), &a.Admitter)
+	for _, d := range a.Admitter.Take() {
+		k := waiterKey{d.Ask.Router, d.Ask.ID}
+		ch := a.waiters[k]
+		delete(a.waiters, k)
+		if ch != nil {
+			ch <- d
+		}
+	}
+}
+
+// Acquire finds a place, waiting for one within the need's times.
+func (a *Allocator) Acquire(ctx context.Context, n *Need) (*Place, *Refusal) {
+	ranked := steerer.Rank(n.Steer, a.Servers(n.Service.Name), a.Loads(), n.Exclude)
+	if len(ranked) == 0 {
+		return nil, &Refusal{Reason: ReasonNoServer, RetryAfter: retryNoServer}
+	}
+	var last *Refusal
+	asks := 0
+	for _, s := range ranked {
+		ask := &admitter.Ask{
+			Router: a.Self.Name, ID: rand.Uint64(), Workspace: n.Workspace,
+			Engine: admitter.Engine{ID: s.ID, Slots: n.Service.Engine.Slots, MemoryTokens: n.Service.Engine.MemoryTokens},
+			Prompt: n.Prompt, Parts: n.Parts, Answer: n.Answer, FirstBy: n.FirstBy, Deadline: n.Deadline, Arrived: n.Arrived,
+		}
+		r, owner, err := a.ask(ctx, ask, s.AvailabilityZone)
+		asks++
+		if err != nil {
+			return nil, &Refusal{Reason: ReasonCanceled, Server: s.ID, Owner: owner.Name, Asks: asks}
+		}
+		if r.Granted {
+			return &Place{Server: s, a: a, id: ask.ID, owner: owner}, nil
+		}
+		last = &Refusal{Reason: r.Reason, Server: s.ID, Owner: owner.Name, Reply: r, Asks: asks, RetryAfter: r.RetryAfter}
+		if r.Reason != admitter.ReasonSuspended {
+			break
+		}
+	}
+	return nil, last
+}
+
+// ask asks the owner of the ask's server, then the router that would own it
+// without that one, and at last decides alone. An error means that nobody waits
+// for the answer any more.
+func (a *Allocator) ask(ctx context.Context, k *admitter.Ask, zone string) (messenger.AskReply, messenger.Peer, error) {
+	for _, o := range a.Roster.Owners(k.Engine.ID, zone, owners) {
+		if o.Name == a.Self.Name {
+			r, err := a.decide(ctx, k)
+			return r, a.Self, err
+		}
+		r, err := a.askPeer(ctx, o, k)
+		if err == nil {
+			return r, o, nil
+		}
+		if ctx.Err() != nil {
+			a.Messenger.Settle(o.Address, a.Self.Name, nil, []messenger.Canceled{{Server: k.Engine.ID, ID: k.ID}})
+			return messenger.AskReply{}, o, err
+		}
+		a.Log("owner-lost", "owner", o.Name, "server", k.Engine.ID, "err", err)
+		a.Roster.Lost(o.Name)
+		// The owner may have granted it all the same.
+		a.Messenger.Settle(o.Address, a.Self.Name, nil, []messenger.Canceled{{Server: k.Engine.ID, ID: k.ID}})
+	}
+	r, err := a.decide(ctx, k)
+	return r, a.Self, err
+}
+
+func (a *Allocator) askPeer(ctx context.Context, o messenger.Peer, k *admitter.Ask) (messenger.AskReply, error) {
+	ctx, cancel := context.WithDeadline(ctx, k.FirstBy.Add(askMargin))
+	defer cancel()
+	args := &messenger.AskArgs{Ask: *k, FirstIn: time.Until(k.FirstBy), DeadlineIn: time.Until(k.Deadline)}
+	args.Ask.FirstBy, args.Ask.Deadline, args.Ask.Arrived = time.Time{}, time.Time{}, time.Time{}
+	return a.Messenger.Ask(ctx, o.Address, args)
+}
+
+// HandleAsk decides a peer's ask; it blocks until the decision.
+func (a *Allocator) HandleAsk(in *messenger.AskArgs) messenger.AskReply {
+	now := time.Now()
+	k := in.Ask
+	k.Arrived, k.FirstBy, k.Deadline = now, now.Add(in.FirstIn), now.Add(in.DeadlineIn)
+	r, err := a.decide(context.Background(), &k)
+	if err != nil {
+		return messenger.AskReply{Reason: ReasonCanceled}
+	}
+	return r
+}
+
+// decide asks the own admitter.
+func (a *Allocator) decide(ctx context.Context, k *admitter.Ask) (messenger.AskReply, error) {
+	ch := make(chan admitter.Decision, 1)
+	a.do(func(now time.Time, ad *admitter.Admitter) {
+		if a.waiters == nil {
+			a.waiters = map[waiterKey]chan admitter.Decision{}
+		}
+		a.waiters[waiterKey{k.Router, k.ID}] = ch
+		ad.Ask(now, k)
+	})
+	select {
+	case d := <-ch:
+		return reply(d), nil
+	case <-ctx.Done():
+	}
+	a.cancel(k.Engine.ID, k.Router, k.ID)
+	return messenger.AskReply{}, failer.Wrap("ask", messenger.KindCanceled, ctx.Err())
+}
+
+// cancel drops an ask or the hold that it has become.
+func (a *Allocator) cancel(server, router string, id uint64) {
+	a.do(func(now time.Time, ad *admitter.Admitter) {
+		delete(a.waiters, waiterKey{router, id})
+		ad.Cancel(now, server, router, id)
+	})
+}
+
+func reply(d admitter.Decision) messenger.AskReply {
+	return messenger.AskReply{
+		Granted: d.Granted, Reason: d.Reason, RetryAfter: d.RetryAfter, Running: d.Running, Waiting: d.Waiting,
+		Backlog: d.Backlog, Usage: d.Usage, Mean: d.Mean,
+	}
+}
+
+// HandleSettle takes a peer's outcomes in.
+func (a *Allocator) HandleSettle(s *messenger.Settlement) {
+	a.do(func(now time.Time, ad *admitter.Admitter) {
+		for _, o := range s.Outcomes {
+			ad.Settle(now, o)
+		}
+		for _, c := range s.Canceled {
+			k := waiterKey{s.From, c.ID}
+			if ch := a.waiters[k]; ch != nil {
+				// The handler of the ask must end too.
+				delete(a.waiters, k)
+				ch <- admitter.Decision{Ask: &admitter.Ask{Router: s.From, ID: c.ID}, Reason: ReasonCanceled}
+			}
+			ad.Cancel(now, c.Server, s.From, c.ID)
+		}
+	})
+}
+
+// Began tells the owner that the first event came.
+func (p *Place) Began() {
+	p.tell(admitter.Outcome{First: true})
+}
+
+// End tells the owner that the request ended.
+func (p *Place) End(failed bool, gap time.Duration) {
+	p.once.Do(func() { p.tell(admitter.Outcome{Done: true, Failed: failed, Gap: gap}) })
+}
+
+func (p *Place) tell(o admitter.Outcome) {
+	o.Router, o.ID, o.Server = p.a.Self.Name, p.id, p.Server.ID
+	if p.owner.Name == p.a.Self.Name {
+		p.a.do(func(now time.Time, ad *admitter.Admitter) { ad.Settle(now, o) })
+		return
+	}
+	p.a.Messenger.Settle(p.owner.Address, p.a.Self.Name, []admitter.Outcome{o}, nil)
+}
+
+// Loads returns the servers' loads as last heard.
+func (a *Allocator) Loads() map[string]steerer.Load {
+	a.loadsMu.RLock()
+	defer a.loadsMu.RUnlock()
+	return a.loads
+}
+
+// Tell returns what this router tells its peers of the servers it owns.
+func (a *Allocator) Tell() ([]admitter.Load, map[string]float64) {
+	a.mu.Lock()
+	now := time.Now()
+	loads, granted := a.Admitter.Loads(now), a.Admitter.Granted(now)
+	a.mu.Unlock()
+	a.merge(loads)
+	return loads, granted
+}
+
+// Hear takes in what a peer tells of the servers it owns.
+func (a *Allocator) Hear(peer string, loads []admitter.Load, granted map[string]float64) {
+	a.do(func(now time.Time, ad *admitter.Admitter) { ad.Heard(now, peer, granted) })
+	a.merge(loads)
+}
+
+// merge replaces the map of loads, so that readers need no lock for long.
+func (a *Allocator) merge(loads []admitter.Load) {
+	a.loadsMu.Lock()
+	defer a.loadsMu.Unlock()
+	m := make(map[string]steerer.Load, len(a.loads)+len(loads))
+	for k, v := range a.loads {
+		m[k] = v
+	}
+	for _, l := range loads {
+		m[l.Server] = l
+	}
+	a.loads = m
+}
+
+// Forget drops what a router that is gone holds.
+func (a *Allocator) Forget(router string) {
+	a.do(func(now time.Time, ad *admitter.Admitter) { ad.Forget(now, router) })
+}
+
+// Keep drops the servers that are gone.
+func (a *Allocator) Keep(servers map[string]*cataloger.Server) {
+	a.loadsMu.Lock()
+	m := make(map[string]steerer.Load, len(a.loads))
+	var gone []string
+	for id, l := range a.loads {
+		if servers[id] != nil {
+			m[id] = l
+		} else {
+			gone = append(gone, id)
+		}
+	}
+	a.loads = m
+	a.loadsMu.Unlock()
+	a.do(func(now time.Time, ad *admitter.Admitter) {
+		for _, id := range gone {
+			ad.Remove(now, id)
+		}
+	})
+}
+
+// Dump lists the owned servers for operators.
+func (a *Allocator) Dump() []admitter.State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.Admitter.Dump(time.Now())
+}
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -39,6 +39,7 @@
 		},
 		Commands: []*cli.Command{
 			routerCommand(logger),
+			serveCommand(out),
 			demoCommand(out, logger),
 			measureCommand(out, logger),
 			checkCommand(out),
--- /dev/null
+++ b/internal/conductor/news.go
@@ -0,0 +1,165 @@
+package conductor
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"papayapaddle/internal/messenger"
+	"papayapaddle/internal/pauser"
+	"papayapaddle/internal/timer"
+	"papayapaddle/platform"
+)
+
+const (
+	// listEvery is the period in which the routers' entries are read again, once
+	// the own one is written; starters make themselves known to all others.
+	listEvery = 20 * time.Second
+	// listRetry is the wait after a failed try.
+	listRetry = 500 * time.Millisecond
+	// unprovenAfter is the age of the proof from which peers are asked for theirs.
+	unprovenAfter = 1500 * time.Millisecond
+)
+
+// period returns the period of news between two routers.
+func (n *node) period() time.Duration {
+	return max(newsPeriod, time.Duration(n.roster.Size())*time.Second/(2*newsRate))
+}
+
+// exchangeNews keeps the routers informed of each other until the context ends.
+func (n *node) exchangeNews(ctx context.Context) {
+	gone := map[string]bool{}
+	for pauser.Pause(ctx, newsPeriod/2) {
+		p := n.period()
+		n.roster.SetSilence(max(peerSilence, silentPeriods*p))
+		n.budgeter.Share(n.roster.Size())
+		age, proven := n.watcher.Age()
+		for _, peer := range n.roster.Due(p, !proven || age > unprovenAfter) {
+			go n.askNews(ctx, peer)
+		}
+		unheard := map[string]bool{}
+		for _, name := range n.roster.Unheard() {
+			unheard[name] = true
+			if !gone[name] {
+				n.log("router-lost", "peer", name)
+				n.allocator.Forget(name)
+			}
+		}
+		gone = unheard
+	}
+}
+
+// askNews exchanges news with one peer. Its proof of the configuration counts
+// from when the question was sent.
+func (n *node) askNews(ctx context.Context, peer messenger.Peer) {
+	askedAt := timer.Boot()
+	news := n.news()
+	reply, err := n.messenger.News(ctx, peer.Address, &news)
+	if err != nil {
+		if ctx.Err() == nil && n.roster.IsReachable(peer.Name) {
+			n.log("news-failed", "peer", peer.Name, "err", err)
+		}
+		return
+	}
+	n.heard(reply)
+	if reply.ProvenAgo >= 0 {
+		n.watcher.Prove(reply.Version, askedAt-reply.ProvenAgo)
+	}
+}
+
+// onNews answers a peer's news.
+func (n *node) onNews(in *messenger.News) messenger.News {
+	n.heard(in)
+	return n.news()
+}
+
+func (n *node) news() messenger.News {
+	loads, granted := n.allocator.Tell()
+	out := messenger.News{
+		From: n.self, Leaving: !n.closing().IsZero(), ProvenAgo: -1, Loads: loads, Granted: granted,
+		Known: n.roster.Reachable(),
+	}
+	if c := n.watcher.Catalog(); c != nil {
+		out.Version = c.Version
+		if age, ok := n.watcher.Age(); ok {
+			out.ProvenAgo = age
+		}
+	}
+	return out
+}
+
+// heard takes a peer's news in.
+func (n *node) heard(in *messenger.News) {
+	replaced, regained := n.roster.Heard(in.From, in.Leaving)
+	if replaced {
+		n.allocator.Forget(in.From.Name)
+	}
+	if regained {
+		n.log("router-heard", "peer", in.From.Name, "address", in.From.Address, "zone", in.From.AvailabilityZone, "replaced", replaced)
+	}
+	n.roster.Add(in.Known...)
+	n.allocator.Hear(in.From.Name, in.Loads, in.Granted)
+	c := n.watcher.Catalog()
+	if c == nil && in.Version > 0 || c != nil && in.Version > c.Version {
+		go n.fetch(in.From, in.Version)
+	}
+}
+
+// fetch installs a newer configuration that a peer has.
+func (n *node) fetch(from messenger.Peer, version uint64) {
+	after := uint64(0)
+	if c := n.watcher.Catalog(); c != nil {
+		after = c.Version
+	}
+	if after >= version {
+		return
+	}
+	raw, err := n.messenger.Fetch(context.Background(), from.Address, after)
+	if err == nil && len(raw) > 0 {
+		_, err = n.watcher.Install(raw, from.Name)
+	}
+	if err != nil {
+		n.log("config-fetch-failed", "peer", from.Name, "version", version, "err", err)
+	}
+}
+
+// register makes this router known in the store and learns of the others.
+func (n *node) register(ctx context.Context) {
+	written := false
+	for {
+		err := n.list(ctx)
+		if err == nil && !written {
+			err = n.store.PutRouter(ctx, platform.RouterEntry{
+				Name: n.self.Name, Address: n.self.Address, AvailabilityZone: n.self.AvailabilityZone, Incarnation: n.self.Incarnation,
+			})
+			written = err == nil
+		}
+		wait := listEvery
+		if err != nil {
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return
+			}
+			n.log("registration-failed", "err", err)
+			wait = listRetry
+		}
+		if !pauser.Pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (n *node) list(ctx context.Context) error {
+	entries, bad, err := n.store.Routers(ctx)
+	if err != nil {
+		return err
+	}
+	for _, err := range bad {
+		n.log("router-entry-unreadable", "err", err)
+	}
+	for _, e := range entries {
+		n.roster.Add(messenger.Peer{
+			Name: e.Name, Address: e.Address, AvailabilityZone: e.AvailabilityZone, Incarnation: e.Incarnation,
+		})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/messenger/messages.go
@@ -0,0 +1,84 @@
+package messenger
+
+import (
+	"time"
+
+	"papayapaddle/internal/admitter"
+)
+
+// Peer names one process of a router.
+type Peer struct {
+	Name             string
+	Address          string
+	AvailabilityZone string
+	// Incarnation tells a process from an earlier one of the same name.
+	Incarnation uint64
+}
+
+// News is what two routers tell each other in turn.
+type News struct {
+	From Peer
+	// Leaving says that the router is shutting down and owns nothing any more.
+	Leaving bool
+	// Version is the configuration in force, and ProvenAgo how long ago the
+	// question was asked whose answer proved it to be the newest; negative if it
+	// never was.
+	Version   uint64
+	ProvenAgo time.Duration
+	// Loads are the servers that the router owns.
+	Loads []admitter.Load
+	// Granted is what the router granted each workspace lately, in tokens.
+	Granted map[string]float64
+	// Known are the routers that it heard of lately.
+	Known []Peer
+}
+
+// AskArgs carries an ask to the owner of its server. Times are spans, as clocks
+// differ.
+type AskArgs struct {
+	Ask admitter.Ask
+	// FirstIn and DeadlineIn replace the ask's times.
+	FirstIn    time.Duration
+	DeadlineIn time.Duration
+}
+
+// AskReply is the owner's decision.
+type AskReply struct {
+	Granted    bool
+	Reason     admitter.Reason
+	RetryAfter time.Duration
+	Running    int
+	Waiting    int
+	Backlog    time.Duration
+	Usage      float64
+	Mean       float64
+}
+
+// Held is a request that a router runs on a server, told to its new owner.
+type Held struct {
+	Ask        admitter.Ask
+	DeadlineIn time.Duration
+}
+
+// Settlement is what a router tells the owner of servers, in one message.
+type Settlement struct {
+	From     string
+	Outcomes []admitter.Outcome
+	Canceled []Canceled
+}
+
+// Canceled is an ask that nobody waits for any more.
+type Canceled struct {
+	Server string
+	ID     uint64
+}
+
+// FetchArgs asks for a configuration newer than a version.
+type FetchArgs struct{ After uint64 }
+
+// FetchReply is the configuration as the platform stores it, empty if there is
+// none that is newer.
+type FetchReply struct{ Config []byte }
+
+// Nothing is the reply to a message that needs none.
+type Nothing struct{}
--- /dev/null
+++ b/internal/messenger/messenger.go
@@ -0,0 +1,294 @@
+// Package messenger carries messages between routers over net/rpc, and keeps
+// the roster of routers that are reachable. Every call has a deadline; a
+// connection that misses one is closed, since it may have gone silent.
+package messenger
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"papayapaddle/internal/admitter"
+	"papayapaddle/internal/failer"
+	"papayapaddle/internal/linker"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// The kinds of error.
+const (
+	KindUnreachable Kind = "peer unreachable"
+	KindTimeout     Kind = "no answer of the peer"
+	KindRefused     Kind = "refused by the peer"
+	KindCanceled    Kind = "canceled"
+)
+
+// Error is the error type of this package.
+type Error = failer.Error[Kind]
+
+const (
+	// dialTimeout bounds the opening of a connection to a peer.
+	dialTimeout = 400 * time.Millisecond
+	// newsTimeout bounds a call for news; a peer that misses it is not heard.
+	newsTimeout = 500 * time.Millisecond
+	// redialWait is how long a peer that could not be reached is left alone.
+	redialWait = 250 * time.Millisecond
+	// maxWaiting bounds what waits to be told to an unreachable peer.
+	maxWaiting = 4096
+)
+
+// Handlers answer the peers' calls. All fields must be set.
+type Handlers struct {
+	// News takes a peer's news in and returns the own.
+	News func(*News) News
+	// Ask blocks until the ask is decided.
+	Ask    func(*AskArgs) AskReply
+	Settle func(*Settlement)
+	Fetch  func(after uint64) []byte
+}
+
+// Messenger holds the links to peers. Dial and Handlers must be set.
+type Messenger struct {
+	Dial     linker.DialFunc
+	Handlers Handlers
+
+	mu    sync.Mutex
+	links map[string]*link
+	conns map[net.Conn]struct{}
+}
+
+// link is the connection to one address, opened when it is needed.
+type link struct {
+	address string
+
+	mu       sync.Mutex
+	client   *rpc.Client
+	failedAt time.Time
+
+	// tellMu guards what is told with the next message. It is not held while a
+	// connection is opened, as requests wait for it.
+	tellMu  sync.Mutex
+	waiting Settlement
+	telling bool
+}
+
+func (m *Messenger) link(address string) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links == nil {
+		m.links = map[string]*link{}
+	}
+	l := m.links[address]
+	if l == nil {
+		l = &link{address: address}
+		m.links[address] = l
+	}
+	return l
+}
+
+// Forget closes the link to an address.
+func (m *Messenger) Forget(address string) {
+	m.mu.Lock()
+	l := m.links[address]
+	delete(m.links, address)
+	m.mu.Unlock()
+	if l != nil {
+		l.drop(nil)
+	}
+}
+
+// connect returns the link's client, opening a connection if there is none.
+func (m *Messenger) connect(l *link) (*rpc.Client, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client != nil {
+		return l.client, nil
+	}
+	if time.Since(l.failedAt) < redialWait {
+		return nil, failer.New("connect "+l.address, KindUnreachable, "it failed just now")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := m.Dial(ctx, "tcp", l.address)
+	if err != nil {
+		l.failedAt = time.Now()
+		return nil, failer.Wrap("connect "+l.address, KindUnreachable, err)
+	}
+	l.client = rpc.NewClient(conn)
+	return l.client, nil
+}
+
+// drop closes the link's client if it is still the given one; nil closes any.
+func (l *link) drop(c *rpc.Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client == nil || c != nil && l.client != c {
+		return
+	}
+	l.client.Close()
+	l.client = nil
+}
+
+// call makes one call that ends with the context.
+func (m *Messenger) call(ctx context.Context, address, method string, args, reply any) error {
+	l := m.link(address)
+	c, err := m.connect(l)
+	if err != nil {
+		return err
+	}
+	call := c.Go("Router."+method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		var refused rpc.ServerError
+		switch {
+		case call.Error == nil:
+			return nil
+		case errors.As(call.Error, &refused):
+			return failer.Wrap("call "+method, KindRefused, call.Error)
+		}
+		l.drop(c)
+		return failer.Wrap("call "+method, KindUnreachable, call.Error)
+	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return failer.Wrap("call "+method, KindCanceled, ctx.Err())
+		}
+		l.drop(c)
+		return failer.Wrap("call "+method, KindTimeout, ctx.Err())
+	}
+}
+
+// News exchanges news with the peer at an address.
+func (m *Messenger) News(ctx context.Context, address string, n *News) (*News, error) {
+	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
+	defer cancel()
+	var reply News
+	if err := m.call(ctx, address, "News", n, &reply); err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
+
+// Ask asks the owner at an address. The context bounds the wait.
+func (m *Messenger) Ask(ctx context.Context, address string, a *AskArgs) (AskReply, error) {
+	var reply AskReply
+	err := m.call(ctx, address, "Ask", a, &reply)
+	return reply, err
+}
+
+// Fetch asks a peer for a newer configuration.
+func (m *Messenger) Fetch(ctx context.Context, address string, after uint64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
+	defer cancel()
+	var reply FetchReply
+	err := m.call(ctx, address, "Fetch", &FetchArgs{After: after}, &reply)
+	return reply.Config, err
+}
+
+// Settle tells the owner at an address what became of a request. It does not
+// wait; what accumulates during a call goes out together in the next.
+func (m *Messenger) Settle(address, self string, o []admitter.Outcome, c []Canceled) {
+	l := m.link(address)
+	l.tellMu.Lock()
+	defer l.tellMu.Unlock()
+	if len(l.waiting.Outcomes)+len(l.waiting.Canceled) < maxWaiting {
+		l.waiting.From = self
+		l.waiting.Outcomes = append(l.waiting.Outcomes, o...)
+		l.waiting.Canceled = append(l.waiting.Canceled, c...)
+	}
+	if !l.telling {
+		l.telling = true
+		go m.tell(l)
+	}
+}
+
+// tell sends what waits until nothing does. What could not be sent is dropped:
+// the owner gives up holds by their deadline, and a new owner starts afresh.
+func (m *Messenger) tell(l *link) {
+	for {
+		l.tellMu.Lock()
+		s := l.waiting
+		l.waiting = Settlement{}
+		if len(s.Outcomes) == 0 && len(s.Canceled) == 0 {
+			l.telling = false
+			l.tellMu.Unlock()
+			return
+		}
+		l.tellMu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
+		if err := m.call(ctx, l.address, "Settle", &s, &Nothing{}); err != nil {
+			l.drop(nil)
+		}
+		cancel()
+	}
+}
+
+// Serve answers the peers that connect to the listener until it is closed.
+func (m *Messenger) Serve(ln net.Listener) error {
+	s := rpc.NewServer()
+	if err := s.RegisterName("Router", &service{h: m.Handlers}); err != nil {
+		return failer.Wrap("serve", KindRefused, err)
+	}
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		m.mu.Lock()
+		if m.conns == nil {
+			m.conns = map[net.Conn]struct{}{}
+		}
+		m.conns[conn] = struct{}{}
+		m.mu.Unlock()
+		go func() {
+			s.ServeConn(conn)
+			m.mu.Lock()
+			delete(m.conns, conn)
+			m.mu.Unlock()
+		}()
+	}
+}
+
+// Close closes all connections.
+func (m *Messenger) Close() {
+	m.mu.Lock()
+	links, conns := m.links, m.conns
+	m.links, m.conns = nil, nil
+	m.mu.Unlock()
+	for _, l := range links {
+		l.drop(nil)
+	}
+	for c := range conns {
+		c.Close()
+	}
+}
+
+// service has the methods that net/rpc calls.
+type service struct{ h Handlers }
+
+// News exchanges news.
+func (s *service) News(in *News, out *News) error {
+	*out = s.h.News(in)
+	return nil
+}
+
+// Ask decides an ask.
+func (s *service) Ask(in *AskArgs, out *AskReply) error {
+	*out = s.h.Ask(in)
+	return nil
+}
+
+// Settle takes outcomes in.
+func (s *service) Settle(in *Settlement, _ *Nothing) error {
+	s.h.Settle(in)
+	return nil
+}
+
+// Fetch returns the configuration.
+func (s *service) Fetch(in *FetchArgs, out *FetchReply) error {
+	out.Config = s.h.Fetch(in.After)
+	return nil
+}
--- /dev/null
+++ b/internal/messenger/roster.go
@@ -0,0 +1,205 @@
+package messenger
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"papayapaddle/internal/placer"
+)
+
+// Roster is what a router knows of the other routers. Self must be set before
+// use. Times are on the boot clock, so that a router which was suspended does
+// not take the others for alive on what it heard before.
+type Roster struct {
+	Self Peer
+	// Silence is how long a router may be unheard and still counts as reachable.
+	Silence time.Duration
+
+	mu    sync.Mutex
+	peers map[string]*member
+	now   func() time.Duration
+	// stopping says that this router owns nothing any more.
+	stopping bool
+}
+
+type member struct {
+	Peer
+	heardAt time.Duration
+	heard   bool
+	leaving bool
+	// triedAt is when news were last asked for.
+	triedAt time.Duration
+	// addedAt is when it was first heard of.
+	addedAt time.Duration
+}
+
+// forgetAfter is how long a router that is never heard stays on the roster.
+const forgetAfter = 60 * time.Second
+
+// NewRoster returns a roster with the clock that it reads.
+func NewRoster(self Peer, silence time.Duration, now func() time.Duration) *Roster {
+	return &Roster{Self: self, Silence: silence, now: now, peers: map[string]*member{}}
+}
+
+// Add notes routers that others told of or the platform lists. They count as
+// reachable only once they are heard. It returns those that are new.
+func (r *Roster) Add(peers ...Peer) []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var added []Peer
+	for _, p := range peers {
+		if p.Name == r.Self.Name {
+			continue
+		}
+		m := r.peers[p.Name]
+		if m != nil && (m.Incarnation == p.Incarnation || r.reachable(m)) {
+			continue
+		}
+		if m != nil && m.heard && p.Incarnation < m.Incarnation {
+			continue
+		}
+		r.peers[p.Name] = &member{Peer: p, addedAt: r.now()}
+		added = append(added, p)
+	}
+	return added
+}
+
+// Heard notes a sign of life. It returns the incarnation's predecessor if the
+// router was replaced, and whether the router was not reachable before.
+func (r *Roster) Heard(p Peer, leaving bool) (replaced, regained bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.Name == r.Self.Name {
+		return false, false
+	}
+	m := r.peers[p.Name]
+	if m != nil && p.Incarnation < m.Incarnation && m.heard {
+		return false, false
+	}
+	if m == nil || m.Incarnation != p.Incarnation {
+		replaced = m != nil && m.heard
+		m = &member{addedAt: r.now()}
+		r.peers[p.Name] = m
+	}
+	regained = !r.reachable(m)
+	m.Peer = p
+	m.heard, m.heardAt, m.leaving = true, r.now(), leaving
+	return replaced, regained
+}
+
+// Lost notes that a router could not be reached.
+func (r *Roster) Lost(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.peers[name]; m != nil && m.heard {
+		m.heardAt = min(m.heardAt, r.now()-r.Silence)
+	}
+}
+
+func (r *Roster) reachable(m *member) bool {
+	return m.heard && r.now()-m.heardAt < r.Silence
+}
+
+// SetSilence changes how long a router may be unheard.
+func (r *Roster) SetSilence(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Silence = d
+}
+
+// IsReachable says whether a router was heard lately.
+func (r *Roster) IsReachable(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.peers[name]
+	return m != nil && r.reachable(m)
+}
+
+// Due returns the routers to exchange news with: those not heard of within the
+// period, or all, unless it was tried within it.
+func (r *Roster) Due(period time.Duration, all bool) []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	var out []Peer
+	for name, m := range r.peers {
+		if !m.heard && now-m.addedAt > forgetAfter || m.heard && now-m.heardAt > forgetAfter {
+			delete(r.peers, name)
+			continue
+		}
+		if !all && m.heard && now-m.heardAt < period || m.triedAt > 0 && now-m.triedAt < period {
+			continue
+		}
+		m.triedAt = now
+		out = append(out, m.Peer)
+	}
+	return out
+}
+
+// Reachable returns the routers that were heard lately, this one included.
+func (r *Roster) Reachable() []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := []Peer{r.Self}
+	for _, m := range r.peers {
+		if r.reachable(m) {
+			out = append(out, m.Peer)
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Size returns the number of routers on the roster, this one included.
+func (r *Roster) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.peers) + 1
+}
+
+// Stop takes this router off the list of owners.
+func (r *Roster) Stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+}
+
+// Unheard returns the names of routers that were heard once and are not now.
+func (r *Roster) Unheard() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for name, m := range r.peers {
+		if m.heard && !r.reachable(m) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Owners returns the routers to ask for a place on a server, the owner first.
+// Every router that is asked decides, so two of them can at worst hand one
+// server too much for a moment.
+func (r *Roster) Owners(server, zone string, n int) []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var routers []placer.Router
+	byName := map[string]Peer{r.Self.Name: r.Self}
+	if !r.stopping {
+		routers = append(routers, placer.Router{Name: r.Self.Name, AvailabilityZone: r.Self.AvailabilityZone})
+	}
+	for _, m := range r.peers {
+		if r.reachable(m) && !m.leaving {
+			routers = append(routers, placer.Router{Name: m.Name, AvailabilityZone: m.AvailabilityZone})
+			byName[m.Name] = m.Peer
+		}
+	}
+	ranked := placer.Rank(routers, "server/"+server, zone)
+	out := make([]Peer, 0, n)
+	for _, name := range ranked[:min(n, len(ranked))] {
+		out = append(out, byName[name])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/relayer/buffer.go
@@ -0,0 +1,96 @@
+package relayer
+
+import (
+	"errors"
+	"hash/fnv"
+	"io"
+	"sync/atomic"
+)
+
+var (
+	errTooLarge = errors.New("the body is larger than allowed")
+	errNoMemory = errors.New("no memory left for the body")
+)
+
+// Budget bounds the bytes of bodies that are held at the same time.
+type Budget struct {
+	// Bytes is the bound; it must be set.
+	Bytes int64
+
+	used atomic.Int64
+}
+
+// Used returns the bytes held now.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+func (b *Budget) reserve(n int64) bool {
+	if b.used.Add(n) > b.Bytes {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// Release gives back what ReadAll reserved for a body.
+func (b *Budget) Release(body []byte) { b.used.Add(-int64(cap(body))) }
+
+// firstChunk is the room for a body whose length is not told.
+const firstChunk = 4 << 10
+
+// ReadAll reads a body within the limit. Its memory counts until Release.
+func (b *Budget) ReadAll(r io.Reader, length, limit int64) ([]byte, error) {
+	if length == 0 {
+		return nil, nil
+	}
+	size := length
+	if length < 0 {
+		size = firstChunk
+	}
+	if !b.reserve(size) {
+		return nil, errNoMemory
+	}
+	if length > 0 {
+		body := make([]byte, length)
+		if _, err := io.ReadFull(r, body); err != nil {
+			b.used.Add(-size)
+			return nil, err
+		}
+		return body, nil
+	}
+	return b.grow(r, make([]byte, 0, size), limit)
+}
+
+// grow reads a body of unknown length.
+func (b *Budget) grow(r io.Reader, body []byte, limit int64) ([]byte, error) {
+	for {
+		if len(body) == cap(body) {
+			more := int64(cap(body))
+			if !b.reserve(more) {
+				b.Release(body)
+				return nil, errNoMemory
+			}
+			body = append(make([]byte, 0, 2*more), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if int64(len(body)) > limit {
+			b.Release(body)
+			return nil, errTooLarge
+		}
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			b.Release(body)
+			return nil, err
+		}
+	}
+}
+
+// point maps a request to [0,1), so that all its attempts take one way.
+func point(id string) float64 {
+	h := fnv.New32a()
+	// A hash never fails to write.
+	_, _ = io.WriteString(h, id)
+	return float64(h.Sum32()) / (1 << 32)
+}
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,439 @@
+// Package relayer takes a caller's request through the router: identify, place,
+// send, and relay the answer. Every request ends in one of three ways: with a
+// server's answer, with a refusal that promises it never ran, or with a failure
+// that promises nothing.
+package relayer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"papayapaddle/internal/cataloger"
+	"papayapaddle/internal/sender"
+)
+
+// Envelope is what a caller's headers say of a request.
+type Envelope struct {
+	ID  string
+	Key string
+	// Patience is how long the caller will wait, 0 if it does not say.
+	Patience time.Duration
+	Model    string
+	// PromptTokens, MaxAnswerTokens and LengthHint are 0 if unknown. The hint is
+	// rough.
+	PromptTokens    int
+	MaxAnswerTokens int
+	LengthHint      int
+	Parts           []Part
+	// LastEvent is the last event that the caller has of a stream it resumes.
+	LastEvent string
+}
+
+// Part is one part of a prompt, in order.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Forwarding is what the router tells a server.
+type Forwarding struct {
+	Server    string
+	Workspace string
+	// Left is the time until the caller's deadline.
+	Left time.Duration
+	// Resumable says that the caller may resume the stream itself; LastEvent is
+	// set where the router does.
+	Resumable bool
+	LastEvent string
+}
+
+// Verdict is what a server's headers say of its answer.
+type Verdict struct {
+	// ID is the request that the answer belongs to, empty if it is not told.
+	ID string
+	// Signed says that the server vouches for the answer.
+	Signed bool
+	// NotRun says that the server did not run the request.
+	NotRun bool
+}
+
+// Codec translates headers.
+type Codec interface {
+	DecodeRequest(http.Header) (Envelope, error)
+	EncodeRequest(http.Header, Forwarding) http.Header
+	DecodeAnswer(status int, h http.Header) Verdict
+	AnswerHeader(http.Header) http.Header
+	EncodeRefusal(h http.Header, id string, retryAfter time.Duration)
+}
+
+// Call is a request that is to be placed on a server.
+type Call struct {
+	Envelope
+	Route     *cataloger.Route
+	Service   *cataloger.Service
+	Workspace string
+	Arrived   time.Time
+	Deadline  time.Time
+	// Exclude names the servers that were tried already.
+	Exclude []string
+}
+
+// Place is the right to run a call on a server.
+type Place struct {
+	Server *cataloger.Server
+	// Began must be called at the first event of a stream.
+	Began func()
+	// End must be called once; gap is the mean time between tokens, or 0.
+	End func(e End)
+}
+
+// End tells how a call on a server ended.
+type End struct {
+	// Failed says that the server failed, Full that it refused for lack of room.
+	Failed bool
+	Full   bool
+	// Gap is the mean time between two tokens of the stream, 0 if unknown.
+	Gap time.Duration
+	// Took is the time until the whole answer.
+	Took time.Duration
+}
+
+// Refusal says why a call got no place.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+	// Detail are key=value pairs for the log.
+	Detail []any
+}
+
+// Beliefs are what the router knows, with its age.
+type Beliefs struct {
+	Catalog *cataloger.Catalog
+	// Age is how long ago the catalog was provably the newest.
+	Age    time.Duration
+	Proven bool
+}
+
+// Relayer serves callers. All fields but Observe must be set.
+type Relayer struct {
+	Codec Codec
+	// Beliefs returns what is in force now.
+	Beliefs func() Beliefs
+	// MaxAge is the age of the proof up to which keys are accepted.
+	MaxAge time.Duration
+	// Place finds a server, waiting for one if that makes sense.
+	Place func(context.Context, *Call) (*Place, *Refusal)
+	Send  func(context.Context, *sender.Request) (*sender.Answer, error)
+	// Drop forgets the unused connections to a server.
+	Drop func(server, address string)
+	// Moved notes that another server answers at a server's address.
+	Moved func(server string)
+	// Request counts a request for a service and Repeat asks whether one may be
+	// sent again.
+	Request func(service string)
+	Repeat  func(service string) bool
+	// Closing says since when the router has been shutting down; zero if it is
+	// not.
+	Closing func() time.Time
+	// Buffer reserves memory for a body; false means that there is none left.
+	Buffer *Budget
+	Log    func(event string, keyvals ...any)
+	// Observe is told of each end, for metrics.
+	Observe func(Summary)
+
+	active atomic.Int64
+}
+
+// Summary is one request's end.
+type Summary struct {
+	Work    cataloger.Work
+	Outcome string
+	Status  int
+	First   time.Duration
+	Took    time.Duration
+	// Late says that the first event or answer missed the route's objective.
+	Late bool
+}
+
+const (
+	// retrySoon is told when a later try may find the router or a server ready.
+	retrySoon = 500 * time.Millisecond
+	// retryUnproven is told when the configuration cannot be proven current: the
+	// next try should reach another router.
+	retryUnproven = 200 * time.Millisecond
+	// maxBodyDefault bounds a body while no configuration says otherwise.
+	maxBodyDefault = 4 << 20
+	// acceptAfterStop is how long after the start of a shutdown a request is still
+	// taken that may last long.
+	acceptAfterStop = 2500 * time.Millisecond
+	// statusClientGone marks a request in logs whose caller has left.
+	statusClientGone = 499
+)
+
+// Active returns the number of requests being served.
+func (r *Relayer) Active() int64 { return r.active.Load() }
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	*Relayer
+	w   http.ResponseWriter
+	req *http.Request
+	rc  *http.ResponseController
+
+	call    Call
+	beliefs Beliefs
+	body    []byte
+	key     cataloger.KeyHash
+	keyed   bool
+
+	// wrote says that the answer's head was written.
+	wrote bool
+	// offered says that a server was sent the request, ran that one may have run
+	// it.
+	offered bool
+	ran     bool
+	sent    int
+	server  string
+	firstAt time.Time
+	outcome string
+	status  int
+	detail  []any
+}
+
+// ServeHTTP serves one request.
+func (r *Relayer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.active.Add(1)
+	defer r.active.Add(-1)
+	x := &exchange{Relayer: r, w: w, req: req, rc: http.NewResponseController(w)}
+	x.call.Arrived = time.Now()
+	if !r.Closing().IsZero() {
+		w.Header().Set("Connection", "close")
+	}
+	defer x.finish()
+	x.serve()
+}
+
+// finish writes the request's log line, and cuts the connection if the answer
+// is not whole.
+func (x *exchange) finish() {
+	now := time.Now()
+	took := now.Sub(x.call.Arrived)
+	s := Summary{Outcome: x.outcome, Status: x.status, Took: took}
+	kv := []any{
+		"request", x.call.ID, "outcome", x.outcome, "status", x.status, "millis", took.Milliseconds(),
+		"server", x.server, "sent", x.sent, "version", x.version(), "proof-age-ms", x.beliefs.Age.Milliseconds(),
+	}
+	if rt := x.call.Route; rt != nil {
+		s.Work = rt.Work
+		s.First = took
+		if !x.firstAt.IsZero() {
+			s.First = x.firstAt.Sub(x.call.Arrived)
+		}
+		s.Late = s.First > rt.Objective
+		kv = append(kv, "route", rt.Name, "workspace", x.call.Workspace, "first-ms", s.First.Milliseconds())
+	}
+	x.Log("request", append(kv, x.detail...)...)
+	if x.Observe != nil {
+		x.Observe(s)
+	}
+	if x.outcome == outcomeCut {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (x *exchange) version() uint64 {
+	if x.beliefs.Catalog == nil {
+		return 0
+	}
+	return x.beliefs.Catalog.Version
+}
+
+// The outcomes in logs and metrics.
+const (
+	outcomeAnswered = "answered"
+	outcomeRefused  = "refused"
+	outcomeFailed   = "failed"
+	outcomeRejected = "rejected"
+	outcomeCut      = "cut"
+	outcomeGone     = "caller-gone"
+)
+
+func (x *exchange) serve() {
+	if !x.identify() || !x.read() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(x.req.Context(), x.call.Deadline)
+	defer cancel()
+	x.Request(x.call.Service.Name)
+	if x.call.Route.Work == cataloger.WorkStream {
+		x.stream(ctx)
+		return
+	}
+	x.whole(ctx)
+}
+
+// identify finds the route, the workspace and the service.
+func (x *exchange) identify() bool {
+	var err error
+	x.call.Envelope, err = x.Codec.DecodeRequest(x.req.Header)
+	x.beliefs = x.Beliefs()
+	if err != nil {
+		x.detail = append(x.detail, "err", err)
+		x.reject(http.StatusBadRequest, "headers")
+		return false
+	}
+	return x.authorize() && x.pickService()
+}
+
+// authorize checks the request against the configuration in force now. A
+// configuration that cannot be proven current proves neither that a key is
+// still valid nor that a route or key does not exist.
+func (x *exchange) authorize() bool {
+	c := x.beliefs.Catalog
+	if c == nil {
+		x.refuse("no-configuration", retrySoon)
+		return false
+	}
+	fresh := x.beliefs.Proven && x.beliefs.Age <= x.MaxAge
+	route := c.Route(x.req.Host, x.req.URL.EscapedPath())
+	if route == nil {
+		if !fresh {
+			x.refuse("configuration-unproven", retryUnproven)
+			return false
+		}
+		x.reject(http.StatusNotFound, "no-route")
+		return false
+	}
+	x.call.Route = route
+	if route.Public || !c.Keyed {
+		x.call.Workspace = ""
+		return true
+	}
+	if !fresh {
+		x.refuse("configuration-unproven", retryUnproven)
+		return false
+	}
+	w := c.Workspace(x.call.Key)
+	if w == nil {
+		x.reject(http.StatusUnauthorized, "unknown-key")
+		return false
+	}
+	x.call.Workspace = w.Name
+	return true
+}
+
+func (x *exchange) pickService() bool {
+	name := x.call.Route.Pick(point(x.call.ID))
+	x.call.Service = x.beliefs.Catalog.Services[name]
+	if x.call.Service == nil {
+		x.refuse("no-service", retrySoon)
+		return false
+	}
+	limit := x.call.Route.Timeout
+	if p := x.call.Patience; p > 0 && (limit <= 0 || p < limit) {
+		limit = p
+	}
+	if limit <= 0 {
+		limit = defaultPatience
+	}
+	x.call.Deadline = x.call.Arrived.Add(limit)
+	if at := x.Closing(); !at.IsZero() && time.Since(at) > acceptAfterStop && x.call.Route.Work == cataloger.WorkStream {
+		x.refuse("shutting-down", retryUnproven)
+		return false
+	}
+	return true
+}
+
+// defaultPatience is how long a caller is taken to wait who does not say, on a
+// route that does not say either.
+const defaultPatience = 15 * time.Second
+
+// recheck looks at the configuration once more just before a request is sent:
+// the router may have waited, or stood still, since it was identified.
+func (x *exchange) recheck() bool {
+	was, service := x.beliefs.Catalog, x.call.Service
+	x.beliefs = x.Beliefs()
+	if x.beliefs.Catalog == was && x.beliefs.Proven && x.beliefs.Age <= x.MaxAge {
+		return true
+	}
+	if !x.authorize() {
+		return false
+	}
+	if !x.call.Route.Leads(service.Name) {
+		x.refuse("route-moved", retryUnproven)
+		return false
+	}
+	return true
+}
+
+// read takes the body in.
+func (x *exchange) read() bool {
+	limit := int64(maxBodyDefault)
+	if n := x.beliefs.Catalog.Limits.MaxBodyBytes; n > 0 {
+		limit = int64(n)
+	}
+	if x.req.ContentLength > limit {
+		x.reject(http.StatusRequestEntityTooLarge, "body-too-large")
+		return false
+	}
+	b, err := x.Buffer.ReadAll(x.req.Body, x.req.ContentLength, limit)
+	switch {
+	case err == nil:
+		x.body = b
+		return true
+	case errors.Is(err, errTooLarge):
+		x.reject(http.StatusRequestEntityTooLarge, "body-too-large")
+	case errors.Is(err, errNoMemory):
+		x.refuse("no-memory", retrySoon)
+	case errors.Is(err, io.ErrUnexpectedEOF) || x.req.Context().Err() != nil:
+		x.end(outcomeGone, statusClientGone)
+	default:
+		x.reject(http.StatusBadRequest, "body-broken")
+	}
+	return false
+}
+
+func (x *exchange) end(outcome string, status int) { x.outcome, x.status = outcome, status }
+
+// reject answers a request that no configuration allows.
+func (x *exchange) reject(status int, reason string) {
+	x.detail = append(x.detail, "reason", reason)
+	x.own(outcomeRejected, status, 0)
+}
+
+// refuse promises that the request has not run and will not.
+func (x *exchange) refuse(reason string, retryAfter time.Duration) {
+	x.detail = append(x.detail, "reason", reason, "retry-after-ms", retryAfter.Milliseconds())
+	x.own(outcomeRefused, http.StatusServiceUnavailable, retryAfter)
+}
+
+// fail promises nothing.
+func (x *exchange) fail(status int, reason string, err error) {
+	x.detail = append(x.detail, "reason", reason)
+	if err != nil {
+		x.detail = append(x.detail, "err", err)
+	}
+	x.own(outcomeFailed, status, 0)
+}
+
+// own writes an answer of the router itself.
+func (x *exchange) own(outcome string, status int, retryAfter time.Duration) {
+	if x.req.Context().Err() != nil {
+		x.end(outcomeGone, statusClientGone)
+		return
+	}
+	if x.wrote {
+		x.end(outcomeCut, status)
+		return
+	}
+	x.end(outcome, status)
+	h := x.w.Header()
+	x.Codec.EncodeRefusal(h, x.call.ID, retryAfter)
+	h.Set("Content-Length", "0")
+	x.w.WriteHeader(status)
+	x.wrote = true
+}
--- /dev/null
+++ b/internal/sender/quiet.go
@@ -0,0 +1,34 @@
+package sender
+
+import (
+	"errors"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// quiet says whether an unused connection is open and nothing was received on
+// it. It does not wait.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		// Connections of tests have no descriptor to look at.
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	var b [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		// Data or an end are both unexpected on an unused connection.
+		open = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/internal/sender/sender.go
@@ -0,0 +1,380 @@
+// Package sender writes a request to one backend server and reads its answer,
+// and tells exactly how far it came. Unlike the standard library's transport it
+// never sends a request twice by itself, and it reuses a connection only if
+// nothing unexpected lies on it.
+package sender
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"papayapaddle/internal/failer"
+	"papayapaddle/internal/linker"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// The kinds of error.
+const (
+	// KindNotSent means that no byte of the request left this process.
+	KindNotSent Kind = "not sent"
+	// KindLost means that the request may have run.
+	KindLost Kind = "answer lost"
+	// KindGarbled means that what came back was no answer to the request.
+	KindGarbled Kind = "no answer in the protocol"
+)
+
+// Error is the error type of this package.
+type Error = failer.Error[Kind]
+
+const (
+	// dialTimeout bounds the opening of a connection. A round trip between zones
+	// takes milliseconds, and one lost packet costs a second.
+	dialTimeout = 1200 * time.Millisecond
+	// bufferBytes is the size of a connection's read buffer.
+	bufferBytes = 4 << 10
+	// maxIdle is the number of unused connections kept to one server.
+	maxIdle = 8
+	// idleLimit is how long an unused connection is kept where the server tells
+	// no limit.
+	idleLimit = 10 * time.Second
+	// idleMargin keeps a connection from being used just as the server closes it.
+	idleMargin = 500 * time.Millisecond
+	// freshLimit is how long a connection may have been unused to carry a request
+	// that must not be sent twice: a server may drop it without notice.
+	freshLimit = time.Second
+	// maxStrays is the number of answers to other requests that are read over
+	// before a connection is given up.
+	maxStrays = 2
+	// maxStrayBytes bounds an answer to another request.
+	maxStrayBytes = 64 << 10
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 64 << 10
+)
+
+// Request is what is written to a server.
+type Request struct {
+	// Server names the server; connections are kept for it alone, as its address
+	// may be given to another server later.
+	Server  string
+	Address string
+	Method  string
+	// Target is the path and query as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Once marks a request that must not be sent again after it may have run.
+	Once bool
+	// Mine says whether an answer belongs to this request.
+	Mine func(http.Header) bool
+}
+
+// Answer is the head of a server's answer; its body follows. Close must be
+// called once.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the body's length, or -1.
+	Length int64
+	// Body ends with io.EOF only where the server ended it properly.
+	Body io.Reader
+
+	resp *http.Response
+	conn *conn
+	ctx  context.Context
+	stop func() bool
+	once sync.Once
+}
+
+// conn is one connection to a server.
+type conn struct {
+	net.Conn
+	br      *bufio.Reader
+	limit   *io.LimitedReader
+	pool    *pool
+	usedAt  time.Time
+	till    time.Time
+	reused  bool
+	wrote   bool
+	written error
+}
+
+// pool keeps the unused connections to one server.
+type pool struct {
+	mu     sync.Mutex
+	idle   []*conn
+	closed bool
+}
+
+// Sender sends requests. Dial must be set. Opened is told of each new
+// connection and may be nil.
+type Sender struct {
+	Dial   linker.DialFunc
+	Opened func()
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+func (s *Sender) pool(server, address string) *pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pools == nil {
+		s.pools = map[string]*pool{}
+	}
+	key := server + "@" + address
+	p := s.pools[key]
+	if p == nil {
+		p = &pool{}
+		s.pools[key] = p
+	}
+	return p
+}
+
+// Keep closes the connections to all servers but those named, each given as
+// its id and address.
+func (s *Sender) Keep(servers map[string]string) {
+	s.mu.Lock()
+	var gone []*pool
+	for key, p := range s.pools {
+		server, address, _ := strings.Cut(key, "@")
+		if servers[server] != address {
+			gone = append(gone, p)
+			delete(s.pools, key)
+		}
+	}
+	s.mu.Unlock()
+	for _, p := range gone {
+		p.close()
+	}
+}
+
+// Drop closes the unused connections to a server, because one of them failed
+// and the others may have been lost with it.
+func (s *Sender) Drop(server, address string) {
+	s.mu.Lock()
+	p := s.pools[server+"@"+address]
+	s.mu.Unlock()
+	if p != nil {
+		p.drop()
+	}
+}
+
+func (p *pool) drop() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.drop()
+}
+
+// take returns an unused connection that is still sound, or nil.
+func (p *pool) take(now time.Time, once bool) *conn {
+	for {
+		p.mu.Lock()
+		n := len(p.idle)
+		if n == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		if now.After(c.till) || once && now.Sub(c.usedAt) > freshLimit || !c.quiet() {
+			c.Close()
+			continue
+		}
+		c.reused = true
+		return c
+	}
+}
+
+func (p *pool) put(now time.Time, c *conn) {
+	c.usedAt = now
+	p.mu.Lock()
+	if p.closed || len(p.idle) >= maxIdle {
+		p.mu.Unlock()
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+	p.mu.Unlock()
+}
+
+// Send writes the request and returns once the head of its answer was read. The
+// connection is closed when the context ends, until the answer is closed.
+func (s *Sender) Send(ctx context.Context, r *Request) (*Answer, error) {
+	c, err := s.connect(ctx, r)
+	if err != nil {
+		return nil, failer.Wrap("send", KindNotSent, err)
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	a, err := c.exchange(r)
+	if err != nil {
+		stop()
+		c.Close()
+		if cause := context.Cause(ctx); cause != nil {
+			err = errors.Join(err, cause)
+		}
+		kind := KindLost
+		switch {
+		case !c.wrote:
+			kind = KindNotSent
+		case errors.Is(err, errGarbled):
+			kind = KindGarbled
+		}
+		return nil, failer.Wrap("send", kind, err)
+	}
+	a.ctx, a.stop = ctx, stop
+	return a, nil
+}
+
+func (s *Sender) connect(ctx context.Context, r *Request) (*conn, error) {
+	p := s.pool(r.Server, r.Address)
+	if c := p.take(time.Now(), r.Once); c != nil {
+		return c, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := s.Dial(ctx, "tcp", r.Address)
+	if err != nil {
+		return nil, err
+	}
+	if s.Opened != nil {
+		s.Opened()
+	}
+	c := &conn{Conn: nc, pool: p}
+	c.limit = &io.LimitedReader{R: nc, N: 1 << 62}
+	c.br = bufio.NewReaderSize(c.limit, bufferBytes)
+	return c, nil
+}
+
+var errGarbled = errors.New("garbled answer")
+
+// exchange writes the request and reads the head of its answer.
+func (c *conn) exchange(r *Request) (*Answer, error) {
+	c.wrote = false
+	if err := c.write(r); err != nil {
+		// A server may refuse a long request before it has read it; its answer is
+		// read all the same.
+		if !c.wrote {
+			return nil, err
+		}
+		c.written = err
+	}
+	for range maxStrays + 1 {
+		resp, err := c.head(r)
+		if err != nil {
+			if c.written != nil {
+				err = errors.Join(err, c.written)
+			}
+			return nil, err
+		}
+		if r.Mine(resp.Header) {
+			return c.answer(resp), nil
+		}
+		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil || n == maxStrayBytes || resp.Close {
+			break
+		}
+	}
+	return nil, errors.Join(errGarbled, errors.New("the answer belongs to another request"))
+}
+
+// write sends the request in one piece, so that a small one is one packet.
+func (c *conn) write(r *Request) error {
+	var b strings.Builder
+	b.Grow(512 + len(r.Body))
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			b.WriteString(k + ": " + v + "\r\n")
+		}
+	}
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	n, err := io.WriteString(c.Conn, b.String())
+	// A write that fails at once may still have put bytes on the wire.
+	c.wrote = n > 0 || err == nil
+	return err
+}
+
+// head reads the head of one answer, over informational ones.
+func (c *conn) head(r *Request) (*http.Response, error) {
+	for {
+		c.limit.N = maxHeaderBytes
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+		c.limit.N = 1 << 62
+		if err != nil {
+			var ne net.Error
+			if errors.As(err, &ne) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+				return nil, err
+			}
+			return nil, errors.Join(errGarbled, err)
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.Join(errGarbled, errors.New("unasked change of protocol"))
+		}
+		if resp.StatusCode >= 200 {
+			return resp, nil
+		}
+	}
+}
+
+func (c *conn) answer(resp *http.Response) *Answer {
+	return &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body,
+		resp: resp, conn: c,
+	}
+}
+
+// Close gives the connection back, if the whole answer was read and the request
+// written; whole says so. Otherwise the server sees the connection close, and
+// stops its work.
+func (a *Answer) Close(whole bool) {
+	a.once.Do(func() {
+		c := a.conn
+		if !a.stop() || !whole || c.written != nil || a.resp.Close || c.br.Buffered() > 0 {
+			c.Close()
+			return
+		}
+		now := time.Now()
+		c.till = now.Add(keepAlive(a.Header))
+		c.pool.put(now, c)
+	})
+}
+
+// keepAlive returns how long the connection may stay unused.
+func keepAlive(h http.Header) time.Duration {
+	for _, v := range strings.Split(h.Get("Keep-Alive"), ",") {
+		k, s, _ := strings.Cut(strings.TrimSpace(v), "=")
+		if !strings.EqualFold(k, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(s); err == nil {
+			return max(0, min(idleLimit, time.Duration(n)*time.Second-idleMargin))
+		}
+	}
+	return idleLimit
+}
