An ask that is late no longer ends the connection of the others

Change: only calls that any sound peer answers at once judge a connection; later attempts get half an objective; peers tell how long they have followed the store; no request is taken that the shutdown would cut.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -44,6 +44,8 @@
 	// maxRateStep bounds what one measurement says, rateSmoothing its weight.
 	maxRateStep   = 3
 	rateSmoothing = 0.05
+	// activeFor is how long after the last ask an owner speaks for a server.
+	activeFor = 2 * time.Second
 	// freeSmoothing is the weight of the newest time between two freed places.
 	freeSmoothing = 0.2
 	// failuresToSuspend is the number of failures in a row that suspend a server.
@@ -168,6 +170,7 @@
 		a.refuse(now, e, k, ReasonSuspended, e.suspended.Sub(now))
 		return
 	}
+	e.askedAt = now
 	e.queue = append(e.queue, k)
 	a.schedule(now, e)
 }
@@ -375,6 +378,10 @@
 func (a *Admitter) Loads(now time.Time) []Load {
 	out := make([]Load, 0, len(a.engines))
 	for id, e := range a.engines {
+		if !e.active(now) {
+			// Another router may own it by now.
+			continue
+		}
 		out = append(out, Load{Server: id, Wait: e.wait(now), Suspended: now.Before(e.suspended)})
 	}
 	slices.SortFunc(out, func(x, y Load) int { return cmp.Compare(x.Server, y.Server) })
@@ -383,7 +390,9 @@
 
 // State is one server in a dump.
 type State struct {
-	Server   string  `json:"server"`
+	Server string `json:"server"`
+	// Active says that the server was asked for lately.
+	Active   bool    `json:"active"`
 	Running  int     `json:"running"`
 	Waiting  int     `json:"waiting"`
 	Places   int     `json:"places"`
@@ -398,7 +407,7 @@
 	var out []State
 	for id, e := range a.engines {
 		out = append(out, State{
-			Server: id, Running: len(e.holds), Waiting: len(e.queue), Places: e.places(), ReadRate: e.readRate,
+			Server: id, Active: e.active(now), Running: len(e.holds), Waiting: len(e.queue), Places: e.places(), ReadRate: e.readRate,
 			GapMS: e.gap.Seconds() * 1000, Failures: e.failures, WaitMS: e.wait(now).Seconds() * 1000,
 		})
 	}
--- a/internal/admitter/engine.go
+++ b/internal/admitter/engine.go
@@ -46,6 +46,7 @@
 	freedAt   time.Time
 	freeEvery time.Duration
 
+	askedAt   time.Time
 	failures  int
 	suspended time.Time
 	penalty   time.Duration
@@ -61,6 +62,9 @@
 	}
 }
 
+// active says whether the server was asked for lately.
+func (e *engine) active(now time.Time) bool { return now.Sub(e.askedAt) < activeFor }
+
 // places is the number of requests that the engine may run at the same time.
 func (e *engine) places() int { return max(1, int(float64(e.Slots)*placeShare)) }
 
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -19,6 +19,8 @@
 const (
 	// tickEvery is the period of admitter.Tick.
 	tickEvery = 20 * time.Millisecond
+	// reportEvery is the period of log lines about the owned servers.
+	reportEvery = 2 * time.Second
 	// askMargin is how long after the first event is wanted an owner may answer;
 	// one that is later has lost the ask.
 	askMargin = 60 * time.Millisecond
@@ -97,12 +99,26 @@
 func (a *Allocator) Run(ctx context.Context) {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
+	report := time.NewTicker(reportEvery)
+	defer report.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 			a.do(func(now time.Time, ad *admitter.Admitter) { ad.Tick(now) })
+		case <-report.C:
+			a.report()
+		}
+	}
+}
+
+// report logs what is believed of the servers that were asked for lately.
+func (a *Allocator) report() {
+	for _, s := range a.Dump() {
+		if s.Active {
+			a.Log("engine", "server", s.Server, "running", s.Running, "places", s.Places, "waiting", s.Waiting,
+				"wait-ms", int(s.WaitMS), "read-rate", int(s.ReadRate), "token-gap-ms", s.GapMS, "failures", s.Failures)
 		}
 	}
 }
@@ -170,7 +186,9 @@
 			return messenger.AskReply{}, o, err
 		}
 		a.Log("owner-lost", "owner", o.Name, "server", k.Engine.ID, "err", err)
-		a.Roster.Lost(o.Name)
+		if failer.KindOf[messenger.Kind](err) == messenger.KindUnreachable {
+			a.Roster.Lost(o.Name)
+		}
 		// The owner may have granted it all the same.
 		a.Messenger.Settle(o.Address, a.Self.Name, nil, []messenger.Canceled{{Server: k.Engine.ID, ID: k.ID}})
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -104,8 +104,8 @@
 	operators *http.Server
 	cancel    context.CancelFunc
 	done      chan struct{}
-	// closingAt is when the shutdown began, in Unix nanoseconds, 0 before.
-	closingAt atomic.Int64
+	// closingAt is when the shutdown began, nil before.
+	closingAt atomic.Pointer[time.Time]
 }
 
 // New assembles a router that logs to out; nothing runs before Start.
@@ -229,6 +229,9 @@
 	n.store, n.watcher, n.messenger, n.allocator = st, w, m, a
 	n.budgeter, n.sender, n.relayer = b, s, r
 	w.OnServers = n.onServers
+	m.Lost = func(address string, outcomes int, err error) {
+		n.log("settle-lost", "peer", address, "outcomes", outcomes, "err", err)
+	}
 	m.Handlers = messenger.Handlers{
 		News: n.onNews, Ask: a.HandleAsk, Settle: a.HandleSettle, Fetch: w.Raw,
 	}
@@ -245,10 +248,13 @@
 	n.balancer.Keep(f.ByID)
 }
 
-// closing returns when the shutdown began.
-func (n *node) closing() time.Time {
-	if at := n.closingAt.Load(); at != 0 {
-		return time.Unix(0, at)
+// closing returns when the shutdown began and when it ends, or zero times.
+func (n *node) closing() (began, end time.Time) {
+	at := n.closingAt.Load()
+	if at == nil {
+		return time.Time{}, time.Time{}
 	}
-	return time.Time{}
+	return *at, at.Add(n.settings.Bounds.Grace() - exitMargin)
 }
+
+func (n *node) isClosing() bool { return n.closingAt.Load() != nil }
--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -76,7 +76,7 @@
 
 // serve logs why a listener ended, unless the router stops.
 func (n *node) serve(name string, f func() error) {
-	if err := f(); err != nil && n.closing().IsZero() {
+	if err := f(); err != nil && !n.isClosing() {
 		n.log("listener-ended", "listener", name, "err", err)
 	}
 }
@@ -104,7 +104,7 @@
 func (n *node) unready() string {
 	age, proven := n.watcher.Age()
 	switch {
-	case !n.closing().IsZero():
+	case n.isClosing():
 		return "shutting down"
 	case n.watcher.Catalog() == nil:
 		return "no configuration yet"
@@ -120,10 +120,10 @@
 // is finished as far as the grace allows.
 func (n *node) stop(context.Context) error {
 	began := time.Now()
-	n.closingAt.Store(began.UnixNano())
+	n.closingAt.Store(&began)
 	n.roster.Stop()
 	n.log("stopping", "active", n.relayer.Active())
-	end := began.Add(n.settings.Bounds.Grace() - exitMargin)
+	_, end := n.closing()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	pauser.Pause(ctx, turnAway)
@@ -131,13 +131,11 @@
 	}
 	// Unused connections are closed, and what came meanwhile is finished.
 	err := n.callers.Shutdown(ctx)
-	n.log("stopped", "active", n.relayer.Active(), "took-ms", time.Since(began).Milliseconds())
+	// What is still open then is cut with the process: the platform would kill it.
+	n.log("stopped", "active", n.relayer.Active(), "took-ms", time.Since(began).Milliseconds(), "err", err)
 	n.cancel()
 	n.messenger.Close()
 	close(n.done)
 	n.recorder.Flush()
-	if err != nil {
-		return failer.Wrap("stop", KindListen, err)
-	}
 	return nil
 }
--- a/internal/conductor/news.go
+++ b/internal/conductor/news.go
@@ -76,8 +76,8 @@
 func (n *node) news() messenger.News {
 	loads, granted := n.allocator.Tell()
 	out := messenger.News{
-		From: n.self, Leaving: !n.closing().IsZero(), ProvenAgo: -1, Loads: loads, Granted: granted,
-		Known: n.roster.Reachable(),
+		From: n.self, Leaving: n.isClosing(), ProvenAgo: -1, Loads: loads, Granted: granted,
+		Known: n.roster.Reachable(), Contact: n.watcher.Contact(),
 	}
 	if c := n.watcher.Catalog(); c != nil {
 		out.Version = c.Version
@@ -99,6 +99,7 @@
 	}
 	n.roster.Add(in.Known...)
 	n.allocator.Hear(in.From.Name, in.Loads, in.Granted)
+	n.watcher.PeerContact(in.From.Name, in.Contact)
 	c := n.watcher.Catalog()
 	if c == nil && in.Version > 0 || c != nil && in.Version > c.Version {
 		go n.fetch(in.From, in.Version)
--- a/internal/conductor/place.go
+++ b/internal/conductor/place.go
@@ -86,6 +86,16 @@
 		Workspace: c.Workspace, Service: c.Service,
 		Prompt: c.PromptTokens, Parts: admitter.Chain(c.Model, names, tokens), Answer: answer,
 		Steer:   steerer.Prompt{Home: home, Shared: shared},
-		Arrived: c.Arrived, FirstBy: c.Arrived.Add(c.Route.Objective), Deadline: c.Deadline, Exclude: c.Exclude,
+		Arrived: c.Arrived, FirstBy: firstBy(c, time.Now()), Deadline: c.Deadline, Exclude: c.Exclude,
 	}
 }
+
+// firstBy returns by when the first event is wanted. One that was tried before
+// may be late already; it still waits as long as half of a new one.
+func firstBy(c *relayer.Call, now time.Time) time.Time {
+	at := c.Arrived.Add(c.Route.Objective)
+	if again := now.Add(c.Route.Objective / 2); at.Before(again) {
+		return again
+	}
+	return at
+}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -25,6 +25,8 @@
 	// never was.
 	Version   uint64
 	ProvenAgo time.Duration
+	// Contact is for how long the router has followed the store without a break.
+	Contact time.Duration
 	// Loads are the servers that the router owns.
 	Loads []admitter.Load
 	// Granted is what the router granted each workspace lately, in tokens.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -55,6 +55,8 @@
 type Messenger struct {
 	Dial     linker.DialFunc
 	Handlers Handlers
+	// Lost is told of outcomes that could not be sent; nil drops it.
+	Lost func(address string, outcomes int, err error)
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -156,17 +158,26 @@
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return failer.Wrap("call "+method, KindCanceled, ctx.Err())
 		}
-		l.drop(c)
 		return failer.Wrap("call "+method, KindTimeout, ctx.Err())
 	}
 }
 
-// News exchanges news with the peer at an address.
-func (m *Messenger) News(ctx context.Context, address string, n *News) (*News, error) {
+// prompt makes a call that any sound peer answers at once. Without an answer
+// the connection is closed, with all that waits on it: it has gone silent.
+func (m *Messenger) prompt(ctx context.Context, address, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
 	defer cancel()
+	err := m.call(ctx, address, method, args, reply)
+	if failer.KindOf[Kind](err) == KindTimeout {
+		m.link(address).drop(nil)
+	}
+	return err
+}
+
+// News exchanges news with the peer at an address.
+func (m *Messenger) News(ctx context.Context, address string, n *News) (*News, error) {
 	var reply News
-	if err := m.call(ctx, address, "News", n, &reply); err != nil {
+	if err := m.prompt(ctx, address, "News", n, &reply); err != nil {
 		return nil, err
 	}
 	return &reply, nil
@@ -181,10 +192,8 @@
 
 // Fetch asks a peer for a newer configuration.
 func (m *Messenger) Fetch(ctx context.Context, address string, after uint64) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
-	defer cancel()
 	var reply FetchReply
-	err := m.call(ctx, address, "Fetch", &FetchArgs{After: after}, &reply)
+	err := m.prompt(ctx, address, "Fetch", &FetchArgs{After: after}, &reply)
 	return reply.Config, err
 }
 
@@ -218,11 +227,9 @@
 			return
 		}
 		l.tellMu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
-		if err := m.call(ctx, l.address, "Settle", &s, &Nothing{}); err != nil {
-			l.drop(nil)
+		if err := m.prompt(context.Background(), l.address, "Settle", &s, &Nothing{}); err != nil && m.Lost != nil {
+			m.Lost(l.address, len(s.Outcomes)+len(s.Canceled), err)
 		}
-		cancel()
 	}
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -136,9 +136,9 @@
 	// sent again.
 	Request func(service string)
 	Repeat  func(service string) bool
-	// Closing says since when the router has been shutting down; zero if it is
-	// not.
-	Closing func() time.Time
+	// Closing says since when the router has been shutting down, and when it will
+	// end what is still open; zero if it is not.
+	Closing func() (began, end time.Time)
 	// Buffer reserves memory for a body; false means that there is none left.
 	Buffer *Budget
 	Log    func(event string, keyvals ...any)
@@ -170,6 +170,9 @@
 	// acceptAfterStop is how long after the start of a shutdown a request is still
 	// taken that may last long.
 	acceptAfterStop = 2500 * time.Millisecond
+	// maxFinish is the time left of a shutdown in which a request that is no
+	// stream is still taken, if its route's own time is not shorter.
+	maxFinish = 2 * time.Second
 	// statusClientGone marks a request in logs whose caller has left.
 	statusClientGone = 499
 )
@@ -210,7 +213,7 @@
 	defer r.active.Add(-1)
 	x := &exchange{Relayer: r, w: w, req: req, rc: http.NewResponseController(w)}
 	x.call.Arrived = time.Now()
-	if !r.Closing().IsZero() {
+	if began, _ := r.Closing(); !began.IsZero() {
 		w.Header().Set("Connection", "close")
 	}
 	defer x.finish()
@@ -341,13 +344,26 @@
 		limit = defaultPatience
 	}
 	x.call.Deadline = x.call.Arrived.Add(limit)
-	if at := x.Closing(); !at.IsZero() && time.Since(at) > acceptAfterStop && x.call.Route.Work == cataloger.WorkStream {
+	if x.tooLate() {
 		x.refuse("shutting-down", retryUnproven)
 		return false
 	}
 	return true
 }
 
+// tooLate says whether a router that shuts down could not finish the request
+// any more.
+func (x *exchange) tooLate() bool {
+	began, end := x.Closing()
+	switch {
+	case began.IsZero():
+		return false
+	case x.call.Route.Work == cataloger.WorkStream:
+		return time.Since(began) > acceptAfterStop
+	}
+	return time.Until(end) < min(x.call.Route.Timeout, maxFinish)
+}
+
 // defaultPatience is how long a caller is taken to wait who does not say, on a
 // route that does not say either.
 const defaultPatience = 15 * time.Second
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -74,6 +74,9 @@
 	// lapsed entries vanished while the store was away; they are used until their
 	// time is over or the store lists them again.
 	lapsed map[string]time.Duration
+	// contactAt is since when the servers' table has been followed without a
+	// longer break, on the boot clock, in nanoseconds.
+	contactAt atomic.Int64
 }
 
 // installed is a catalog with the bytes that it was read from, for peers.
@@ -247,6 +250,9 @@
 		w.entries, w.left, w.lapsed = map[string]*cataloger.Server{}, map[string]*cataloger.Server{}, map[string]time.Duration{}
 	}
 	now := w.Now()
+	if b.away > awayAfter || w.contactAt.Load() == 0 {
+		w.contactAt.Store(int64(b.askedAt))
+	}
 	listed := map[string]bool{}
 	for _, r := range b.rows {
 		listed[r.Key] = true
@@ -323,6 +329,30 @@
 	w.Log("server-gone", "server", id, "address", s.Address, "why", why)
 }
 
+// Contact returns for how long the store has been followed without a break.
+func (w *Watcher) Contact() time.Duration {
+	at := w.contactAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return w.Now() - time.Duration(at)
+}
+
+// PeerContact takes in for how long a peer has followed the store without a
+// break. If that is since before this router regained it, then this router was
+// cut off and not the store away: the entries that vanished are gone.
+func (w *Watcher) PeerContact(peer string, contact time.Duration) {
+	w.serversMu.Lock()
+	defer w.serversMu.Unlock()
+	if len(w.lapsed) == 0 || contact < w.Contact()+awayAfter {
+		return
+	}
+	for id := range w.lapsed {
+		w.drop(id, "the store listed no such entry to "+peer)
+	}
+	w.publish()
+}
+
 // Gone drops a server whose address another one answers at.
 func (w *Watcher) Gone(id, why string) {
 	w.serversMu.Lock()
