--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 test: format vet lint unit
 
 format:
-	@out=$$(gofmt -l cmd internal); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@out=$$(gofmt -l cmd internal platform); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 vet:
 	go vet ./...
--- /dev/null
+++ b/internal/messenger/messenger_test.go
@@ -0,0 +1,76 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/internal/admitter"
+	"papayapaddle/internal/failer"
+)
+
+// pipeListener accepts the connections that its dial opens.
+type pipeListener struct {
+	conns chan net.Conn
+	dials int
+}
+
+func newPipeListener() *pipeListener { return &pipeListener{conns: make(chan net.Conn, 8)} }
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *pipeListener) Close() error   { close(l.conns); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
+	a, b := net.Pipe()
+	l.dials++
+	l.conns <- b
+	return a, nil
+}
+
+// TestLateAskLeavesTheOthers replays scale-1 of a hunt, where one ask that came
+// too late ended the connection on which all others waited.
+func TestLateAskLeavesTheOthers(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	ln := newPipeListener()
+	owner := &Messenger{Handlers: Handlers{
+		Ask: func(a *AskArgs) AskReply {
+			<-release
+			return AskReply{Granted: a.Ask.ID == 1}
+		},
+	}}
+	go func() { _ = owner.Serve(ln) }()
+	defer ln.Close()
+	m := &Messenger{Dial: ln.dial}
+	defer m.Close()
+
+	type result struct {
+		reply AskReply
+		err   error
+	}
+	first := make(chan result, 1)
+	go func() {
+		r, err := m.Ask(context.Background(), "owner", &AskArgs{Ask: admitter.Ask{ID: 1}})
+		first <- result{r, err}
+	}()
+	past, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer cancel()
+	_, err := m.Ask(past, "owner", &AskArgs{Ask: admitter.Ask{ID: 2}})
+	c.Assert(failer.KindOf[Kind](err), qt.Equals, KindTimeout)
+	close(release)
+	r := <-first
+	c.Assert(r.err, qt.IsNil)
+	c.Assert(r.reply.Granted, qt.IsTrue)
+	c.Assert(ln.dials, qt.Equals, 1)
+}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -159,7 +159,7 @@
 			a.Close(drained(a))
 		}
 		failed := l != nil && !l.notRun || l == nil && a.Status >= http.StatusInternalServerError
-		p.End(End{Failed: failed && ctx.Err() == nil, Full: l != nil && l.notRun && l.sent, Took: time.Since(began)})
+		p.End(End{Failed: failed && x.req.Context().Err() == nil, Full: l != nil && l.notRun && l.sent, Took: time.Since(began)})
 		if final {
 			a.Close(x.answer(a, body))
 			return
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -76,6 +76,8 @@
 		watch = time.AfterFunc(f.silence(), func() { cancel(errSilent) })
 		defer watch.Stop()
 	}
+	// A caller who leaves says nothing of the server, unless it was silent for
+	// longer than a sound one is.
 	began, had := time.Now(), f.events
 	a, l := x.send(ctx, p, f.last)
 	whole := false
@@ -93,7 +95,7 @@
 	if a != nil {
 		a.Close(whole || l != nil && l.notRun && drained(a))
 	}
-	failed := l != nil && !l.notRun && x.req.Context().Err() == nil
+	failed := l != nil && !l.notRun && (x.req.Context().Err() == nil || f.events == had && time.Since(began) > f.silence())
 	if l == nil && a.Status >= http.StatusInternalServerError {
 		failed = true
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -91,7 +91,6 @@
 
 	resp *http.Response
 	conn *conn
-	ctx  context.Context
 	stop func() bool
 	once sync.Once
 }
@@ -223,9 +222,23 @@
 // Send writes the request and returns once the head of its answer was read. The
 // connection is closed when the context ends, until the answer is closed.
 func (s *Sender) Send(ctx context.Context, r *Request) (*Answer, error) {
+	for {
+		a, reused, err := s.try(ctx, r)
+		if reused && failer.KindOf[Kind](err) == KindNotSent && ctx.Err() == nil {
+			// The unused connection had ended; nothing was written on it.
+			s.Drop(r.Server, r.Address)
+			continue
+		}
+		return a, err
+	}
+}
+
+// try sends the request on one connection, and says whether that had been used
+// before.
+func (s *Sender) try(ctx context.Context, r *Request) (*Answer, bool, error) {
 	c, err := s.connect(ctx, r)
 	if err != nil {
-		return nil, failer.Wrap("send", KindNotSent, err)
+		return nil, false, failer.Wrap("send", KindNotSent, err)
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	a, err := c.exchange(r)
@@ -242,10 +255,10 @@
 		case errors.Is(err, errGarbled):
 			kind = KindGarbled
 		}
-		return nil, failer.Wrap("send", kind, err)
+		return nil, c.reused, failer.Wrap("send", kind, err)
 	}
-	a.ctx, a.stop = ctx, stop
-	return a, nil
+	a.stop = stop
+	return a, c.reused, nil
 }
 
 func (s *Sender) connect(ctx context.Context, r *Request) (*conn, error) {
--- /dev/null
+++ b/internal/watcher/watcher_test.go
@@ -0,0 +1,187 @@
+package watcher
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"papayapaddle/internal/cataloger"
+)
+
+// bench drives a watcher without a store.
+type bench struct {
+	w   *Watcher
+	now time.Duration
+	log []string
+	// heardAt is when the store last answered.
+	heardAt time.Duration
+}
+
+func newBench() *bench {
+	b := &bench{now: time.Hour, heardAt: time.Hour}
+	b.w = &Watcher{
+		ConfigKey: "config", Now: func() time.Duration { return b.now },
+		Log: func(event string, _ ...any) { b.log = append(b.log, event) },
+		DecodeCatalog: func(raw []byte) (*cataloger.Catalog, error) {
+			v, err := strconv.ParseUint(string(raw), 10, 64)
+			if err != nil {
+				return nil, err
+			}
+			return cataloger.New(cataloger.Catalog{Version: v})
+		},
+		DecodeServer: func(r Row) (*cataloger.Server, error) {
+			var s cataloger.Server
+			if err := json.Unmarshal(r.Value, &s); err != nil {
+				return nil, err
+			}
+			if s.Address == "" {
+				return nil, errors.New("no address")
+			}
+			s.ID = r.Key
+			return &s, nil
+		},
+	}
+	return b
+}
+
+// rows reads lines such as "s1 address=x born=1 leaving", "s1 deleted" and
+// "s1 garbage".
+func rows(t *testing.T, input string) []Row {
+	var out []Row
+	for line := range strings.Lines(input) {
+		f := strings.Fields(line)
+		if len(f) == 0 {
+			continue
+		}
+		r := Row{Key: f[0]}
+		s := cataloger.Server{Service: "pool"}
+		for _, w := range f[1:] {
+			k, v, _ := strings.Cut(w, "=")
+			switch k {
+			case "deleted":
+				r.Deleted = true
+			case "garbage":
+				r.Value = []byte("{")
+			case "address":
+				s.Address = v
+			case "born":
+				n, err := strconv.ParseInt(v, 10, 64)
+				qt.Assert(t, err, qt.IsNil)
+				s.Born = n
+			case "leaving":
+				s.Leaving = true
+			case "version":
+				r.Value = []byte(v)
+			default:
+				t.Fatalf("unknown word %q", w)
+			}
+		}
+		if r.Value == nil && !r.Deleted {
+			b, err := json.Marshal(s)
+			qt.Assert(t, err, qt.IsNil)
+			r.Value = b
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func (b *bench) batch(t *testing.T, d *datadriven.TestData) batch {
+	out := batch{rows: rows(t, d.Input), whole: d.HasArg("whole"), askedAt: b.now, away: max(0, b.now-b.heardAt)}
+	b.heardAt = b.now
+	return out
+}
+
+func (b *bench) servers() string {
+	var s strings.Builder
+	f := b.w.Fleet()
+	for _, id := range slices.Sorted(maps.Keys(f.ByID)) {
+		v := f.ByID[id]
+		use := "usable"
+		if !slices.Contains(f.ByService[v.Service], v) {
+			use = "not usable"
+		}
+		fmt.Fprintf(&s, "%s at %s %s\n", id, v.Address, use)
+	}
+	if s.Len() == 0 {
+		return "none\n"
+	}
+	return s.String()
+}
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		b := newBench()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "servers":
+				b.w.onServers(b.batch(t, d))
+				return b.servers()
+			case "config":
+				b.w.onConfig(b.batch(t, d))
+				return b.belief()
+			case "peer-proof":
+				var version uint64
+				var ago int
+				d.ScanArgs(t, "version", &version)
+				d.ScanArgs(t, "ago-ms", &ago)
+				b.w.Prove(version, b.now-time.Duration(ago)*time.Millisecond)
+				return b.belief()
+			case "peer-contact":
+				var ms int
+				d.ScanArgs(t, "ms", &ms)
+				b.w.PeerContact("peer", time.Duration(ms)*time.Millisecond)
+				return b.servers()
+			case "answers-elsewhere":
+				b.w.Gone(d.CmdArgs[0].Key, "test")
+				return b.servers()
+			case "advance":
+				var ms int
+				d.ScanArgs(t, "ms", &ms)
+				b.now += time.Duration(ms) * time.Millisecond
+				if d.HasArg("in-contact") {
+					b.heardAt = b.now
+				}
+				return ""
+			}
+			t.Fatalf("unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func (b *bench) belief() string {
+	age, ok := b.w.Age()
+	if !ok {
+		return "nothing proven\n"
+	}
+	return fmt.Sprintf("version %d proven %d ms ago\n", b.w.Catalog().Version, age.Milliseconds())
+}
+
+// TestVersionsNeverFall delivers configurations in any order.
+func TestVersionsNeverFall(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench()
+		highest := uint64(0)
+		for _, v := range rapid.SliceOf(rapid.Uint64Range(1, 9)).Draw(t, "versions") {
+			c, err := b.w.Install([]byte(strconv.FormatUint(v, 10)), "test")
+			if err != nil {
+				t.Fatal(err)
+			}
+			highest = max(highest, v)
+			if c.Version != highest || b.w.Catalog().Version != highest {
+				t.Fatalf("version %d in force, %d was installed", b.w.Catalog().Version, highest)
+			}
+		}
+	})
+}
