--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -48,6 +48,19 @@
 	activeFor = 2 * time.Second
 	// freeSmoothing is the weight of the newest time between two freed places.
 	freeSmoothing = 0.2
+	// gapSmoothing is the weight of the newest time between two tokens, of which
+	// each running stream tells some a second.
+	gapSmoothing = 0.05
+	// targetGap is the time between two tokens up to which prompts are handed over
+	// faster.
+	targetGap = 1000 * time.Millisecond
+	// paceEvery is the least time between two changes of the rate at which prompts
+	// are handed over; it falls by paceDown and rises by paceUp.
+	paceEvery = 200 * time.Millisecond
+	paceDown  = 0.93
+	paceUp    = 1.03
+	// minPaceShare is the least part of the reading speed that is used.
+	minPaceShare = 0.2
 	// failuresToSuspend is the number of failures in a row that suspend a server.
 	failuresToSuspend = 3
 	// minSuspend and maxSuspend bound how long a failing server gets no work.
@@ -214,7 +227,7 @@
 		e.worked()
 	}
 	if o.Gap > 0 {
-		e.learnGap(o.Gap)
+		e.learnGap(now, o.Gap)
 	}
 	if o.Failed {
 		e.failed(now)
@@ -225,14 +238,6 @@
 	a.schedule(now, e)
 }
 
-// learnGap smooths the time between tokens.
-func (e *engine) learnGap(g time.Duration) {
-	if e.gap == 0 {
-		e.gap = g
-	}
-	e.gap += time.Duration(freeSmoothing * float64(g-e.gap))
-}
-
 // Tick refuses what has waited too long, and gives up holds of routers that did
 // not settle them.
 func (a *Admitter) Tick(now time.Time) {
@@ -332,7 +337,7 @@
 			continue
 		}
 		keep = append(keep, k)
-		at = begin.Add(reading)
+		at = begin.Add(e.handTime(e.memory.missing(k.Prompt, k.Parts)))
 	}
 	e.queue = keep
 }
--- a/internal/admitter/engine.go
+++ b/internal/admitter/engine.go
@@ -42,6 +42,8 @@
 	paceRate float64
 	// gap is the smoothed time between two tokens of a stream.
 	gap time.Duration
+	// pacedAt is when paceRate was last changed.
+	pacedAt time.Time
 	// freedAt and freeEvery tell how often a place becomes free.
 	freedAt   time.Time
 	freeEvery time.Duration
@@ -68,8 +70,16 @@
 // places is the number of requests that the engine may run at the same time.
 func (e *engine) places() int { return max(1, int(float64(e.Slots)*placeShare)) }
 
-// backlog is how long the engine has still to read.
-func (e *engine) backlog(now time.Time) time.Duration { return max(0, e.busyTill.Sub(now)) }
+// backlog is how long the engine has still to read, or longer if prompts are
+// handed over more slowly than it reads.
+func (e *engine) backlog(now time.Time) time.Duration {
+	return max(0, e.busyTill.Sub(now), e.paceTill.Sub(now))
+}
+
+// handTime is how long the reading of so many tokens keeps others waiting.
+func (e *engine) handTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / min(e.readRate, e.paceRate) * float64(time.Second))
+}
 
 // tokensHeld is the memory that running requests need at most.
 func (e *engine) tokensHeld() int {
@@ -93,7 +103,7 @@
 		// After a suspension one request finds out whether the server works again.
 		return false
 	}
-	if n >= e.places() || e.backlog(now) > readAhead || e.paceTill.Sub(now) > readAhead {
+	if n >= e.places() || e.backlog(now) > readAhead {
 		return false
 	}
 	return e.MemoryTokens == 0 || e.tokensHeld()+a.Prompt+a.Answer <= int(float64(e.MemoryTokens)*memoryShare)
@@ -163,6 +173,27 @@
 	e.readRate = min(max(e.readRate*(1+rateSmoothing*(off-1)), minReadRate), maxReadRate)
 }
 
+// learnGap takes in how fast a stream's tokens came lately. Each step of the
+// engine reads prompts and makes one token for each running request, so the
+// more is read the slower all answers are: the rate at which prompts are handed
+// over follows from the time between tokens.
+func (e *engine) learnGap(now time.Time, g time.Duration) {
+	if e.gap == 0 {
+		e.gap = g
+	}
+	e.gap += time.Duration(gapSmoothing * float64(g-e.gap))
+	if now.Sub(e.pacedAt) < paceEvery {
+		return
+	}
+	e.pacedAt = now
+	if e.gap > targetGap {
+		e.paceRate *= paceDown
+	} else {
+		e.paceRate *= paceUp
+	}
+	e.paceRate = min(max(e.paceRate, minPaceShare*e.readRate), e.readRate)
+}
+
 // end takes a hold back.
 func (e *engine) end(now time.Time, k holdKey) *hold {
 	h := e.holds[k]
@@ -218,7 +249,7 @@
 func (e *engine) wait(now time.Time) time.Duration {
 	w := e.backlog(now)
 	for _, a := range e.queue {
-		w += e.readTime(e.memory.missing(a.Prompt, a.Parts))
+		w += e.handTime(e.memory.missing(a.Prompt, a.Parts))
 	}
 	if n := len(e.holds) + len(e.queue) - e.places(); n >= 0 {
 		w = max(w, time.Duration(n+1)*e.freeEvery)
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -160,7 +160,10 @@
 		if r.Granted {
 			return &Place{Server: s, a: a, id: ask.ID, owner: owner}, nil
 		}
-		last = &Refusal{Reason: r.Reason, Server: s.ID, Owner: owner.Name, Reply: r, Asks: asks, RetryAfter: r.RetryAfter}
+		if last == nil || r.RetryAfter < last.RetryAfter {
+			last = &Refusal{Reason: r.Reason, Server: s.ID, Owner: owner.Name, Reply: r, RetryAfter: r.RetryAfter}
+		}
+		last.Asks = asks
 		if r.Reason != admitter.ReasonSuspended {
 			break
 		}
@@ -273,9 +276,12 @@
 	p.tell(admitter.Outcome{First: true})
 }
 
+// Pace tells the owner the mean time between two tokens of late.
+func (p *Place) Pace(gap time.Duration) { p.tell(admitter.Outcome{Gap: gap}) }
+
 // End tells the owner that the request ended.
-func (p *Place) End(failed bool, gap time.Duration) {
-	p.once.Do(func() { p.tell(admitter.Outcome{Done: true, Failed: failed, Gap: gap}) })
+func (p *Place) End(failed bool) {
+	p.once.Do(func() { p.tell(admitter.Outcome{Done: true, Failed: failed}) })
 }
 
 func (p *Place) tell(o admitter.Outcome) {
--- a/internal/conductor/place.go
+++ b/internal/conductor/place.go
@@ -32,7 +32,7 @@
 		return nil, &relayer.Refusal{Reason: "no-server", RetryAfter: retryNoServer, Detail: []any{"tried", len(c.Exclude)}}
 	}
 	return &relayer.Place{
-		Server: s, Began: func() {},
+		Server: s, Began: func() {}, Pace: func(time.Duration) {},
 		End: func(e relayer.End) { n.balancer.End(time.Now(), s.ID, e.Failed, e.Full, e.Took) },
 	}, nil
 }
@@ -47,7 +47,8 @@
 	stride := max(1, c.Service.Engine.EventTokens)
 	return &relayer.Place{
 		Server: p.Server, Began: p.Began,
-		End: func(e relayer.End) { p.End(e.Failed || e.Full, e.Gap/time.Duration(stride)) },
+		Pace: func(gap time.Duration) { p.Pace(gap / time.Duration(stride)) },
+		End:  func(e relayer.End) { p.End(e.Failed || e.Full) },
 	}, nil
 }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -36,7 +36,9 @@
 // place finds a server for the next attempt; false says that the request has
 // its answer.
 func (x *exchange) place(ctx context.Context) (*Place, bool) {
+	asked := time.Now()
 	p, refusal := x.Place(ctx, &x.call)
+	x.waited += time.Since(asked)
 	if refusal != nil {
 		x.detail = append(x.detail, refusal.Detail...)
 		switch {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -87,7 +87,9 @@
 	Server *cataloger.Server
 	// Began must be called at the first event of a stream.
 	Began func()
-	// End must be called once; gap is the mean time between tokens, or 0.
+	// Pace tells the mean time between two events of late.
+	Pace func(gap time.Duration)
+	// End must be called once.
 	End func(e End)
 }
 
@@ -96,8 +98,6 @@
 	// Failed says that the server failed, Full that it refused for lack of room.
 	Failed bool
 	Full   bool
-	// Gap is the mean time between two tokens of the stream, 0 if unknown.
-	Gap time.Duration
 	// Took is the time until the whole answer.
 	Took time.Duration
 }
@@ -190,8 +190,6 @@
 	call    Call
 	beliefs Beliefs
 	body    []byte
-	key     cataloger.KeyHash
-	keyed   bool
 
 	// wrote says that the answer's head was written.
 	wrote bool
@@ -202,6 +200,8 @@
 	sent    int
 	server  string
 	firstAt time.Time
+	// waited is the time until places were found, for all attempts together.
+	waited  time.Duration
 	outcome string
 	status  int
 	detail  []any
@@ -237,7 +237,8 @@
 			s.First = x.firstAt.Sub(x.call.Arrived)
 		}
 		s.Late = s.First > rt.Objective
-		kv = append(kv, "route", rt.Name, "workspace", x.call.Workspace, "first-ms", s.First.Milliseconds())
+		kv = append(kv, "route", rt.Name, "workspace", x.call.Workspace, "first-ms", s.First.Milliseconds(),
+			"wait-ms", x.waited.Milliseconds(), "patience-ms", x.call.Patience.Milliseconds(), "prompt", x.call.PromptTokens)
 	}
 	x.Log("request", append(kv, x.detail...)...)
 	if x.Observe != nil {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -21,6 +21,8 @@
 	// without an event a stream that can be resumed is taken up elsewhere.
 	silenceObjectives = 2
 	silenceGaps       = 2
+	// paceEvery is how often a stream's pace is told.
+	paceEvery = 500 * time.Millisecond
 	// minSilence is the least silence that says anything.
 	minSilence = time.Second
 )
@@ -33,10 +35,6 @@
 	number  int64
 	numbers bool
 	events  int
-	firstAt time.Time
-	lastAt  time.Time
-	// status is the answer's, told once.
-	status int
 }
 
 // stream serves a request whose answer is a stream of events.
@@ -100,8 +98,7 @@
 		failed = true
 	}
 	p.End(End{
-		Failed: failed && !errors.Is(l.cause(), errCaller), Full: l != nil && l.notRun && l.sent,
-		Gap: f.gap(had), Took: time.Since(began),
+		Failed: failed && !errors.Is(l.cause(), errCaller), Full: l != nil && l.notRun && l.sent, Took: time.Since(began),
 	})
 	if l != nil && errors.Is(l.err, errCaller) {
 		x.end(outcomeGone, statusClientGone)
@@ -135,15 +132,6 @@
 	return max(minSilence, silenceGaps*rt.MaxGap)
 }
 
-// gap returns the mean time between two events of this attempt.
-func (f *flow) gap(had int) time.Duration {
-	n := f.events - had
-	if n < 3 || had > 0 {
-		return 0
-	}
-	return f.lastAt.Sub(f.firstAt) / time.Duration(n-1)
-}
-
 // other handles an answer that is no stream: a failure, as streams succeed with
 // events.
 func (f *flow) other(a *sender.Answer) (*lost, bool) {
@@ -168,6 +156,7 @@
 	br := bufio.NewReaderSize(a.Body, 4<<10)
 	var event []byte
 	began := false
+	pace := pacer{place: p}
 	for {
 		line, err := br.ReadSlice('\n')
 		event = append(event, line...)
@@ -194,6 +183,7 @@
 			began = true
 			p.Began()
 		}
+		pace.event(time.Now())
 		if l := f.pass(a, event); l != nil {
 			return l
 		}
@@ -206,6 +196,25 @@
 	}
 }
 
+// pacer tells a place how fast the events of a stream come.
+type pacer struct {
+	place  *Place
+	since  time.Time
+	events int
+}
+
+func (p *pacer) event(now time.Time) {
+	if p.since.IsZero() {
+		p.since = now
+		return
+	}
+	p.events++
+	if span := now.Sub(p.since); span >= paceEvery {
+		p.place.Pace(span / time.Duration(p.events))
+		p.since, p.events = now, 0
+	}
+}
+
 // finish ends a stream whose server ended it properly.
 func (f *flow) finish(a *sender.Answer) *lost {
 	x := f.x
@@ -234,16 +243,15 @@
 		f.numbers = err == nil
 		f.number = n
 	}
-	now := time.Now()
 	if f.events == 0 {
-		x.firstAt, f.firstAt = now, now
+		now := time.Now()
+		x.firstAt = now
 		x.head(a)
 		x.w.Header().Del("Content-Length")
 		x.w.WriteHeader(a.Status)
 		x.wrote = true
 	}
 	f.events++
-	f.lastAt = now
 	x.deadline()
 	if _, err := x.w.Write(event); err != nil {
 		return &lost{sent: true, reason: "caller-gone", err: errors.Join(errCaller, err)}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -1,6 +1,6 @@
 // Package steerer chooses the model server for a prompt. Prompts with the same
-// shared parts go to one home server, which keeps what it has read of them; a
-// second home takes over where waiting at the first costs more than reading the
+// shared parts go to one home server, which keeps what it has read of them;
+// another home takes over where waiting at the first costs more than reading the
 // shared parts again. The package does no I/O and reads no clock.
 package steerer
 
@@ -15,14 +15,20 @@
 )
 
 const (
-	// homes is the number of servers that a prompt may be sent to while they work.
+	// homes is the number of servers that are weighed for a prompt. Its first home
+	// keeps what it has read of the shared parts; the others read them again.
 	homes = 2
+	// asked is the number of servers of which a place is asked for at most.
+	asked = 2
 	// readRate is the reading speed in tokens a second at which the shared parts
 	// are priced against waiting.
 	readRate = 40_000
+	// rereadWeight is what reading again counts for against waiting: it takes the
+	// time of all requests at that server, and crowds out what the server keeps.
+	rereadWeight = 3
 	// margin is the wait by which another home must be better: loads are some
 	// hundred milliseconds old.
-	margin = 100 * time.Millisecond
+	margin = 60 * time.Millisecond
 )
 
 // Prompt is what is known of a request's prompt.
@@ -48,23 +54,23 @@
 		routers = append(routers, placer.Router{Name: s.ID})
 		byID[s.ID] = s
 	}
-	out := make([]*cataloger.Server, 0, len(routers))
-	for _, id := range placer.Rank(routers, p.Home, "") {
-		out = append(out, byID[id])
+	ids := placer.Rank(routers, p.Home, "")
+	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(rank(loads[a].Suspended), rank(loads[b].Suspended)) })
+	ids = ids[:min(homes, len(ids))]
+	reread := margin + time.Duration(rereadWeight*float64(p.Shared)/readRate*float64(time.Second))
+	cost := make(map[string]time.Duration, len(ids))
+	for i, id := range ids {
+		cost[id] = loads[id].Wait
+		if i > 0 {
+			cost[id] += reread
+		}
 	}
-	slices.SortStableFunc(out, func(a, b *cataloger.Server) int {
-		return cmp.Compare(rank(loads[a.ID].Suspended), rank(loads[b.ID].Suspended))
+	slices.SortStableFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rank(loads[a].Suspended), rank(loads[b].Suspended)), cmp.Compare(cost[a], cost[b]))
 	})
-	if len(out) > homes {
-		out = out[:homes]
-	}
-	if len(out) < homes {
-		return out
-	}
-	first, second := loads[out[0].ID], loads[out[1].ID]
-	reread := time.Duration(float64(p.Shared) / readRate * float64(time.Second))
-	if !second.Suspended && first.Wait > second.Wait+reread+margin {
-		out[0], out[1] = out[1], out[0]
+	out := make([]*cataloger.Server, 0, asked)
+	for _, id := range ids[:min(asked, len(ids))] {
+		out = append(out, byID[id])
 	}
 	return out
 }
