--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -44,6 +44,13 @@
 	// maxRateStep bounds what one measurement says, rateSmoothing its weight.
 	maxRateStep   = 3
 	rateSmoothing = 0.05
+	// returnPatience is how many objectives a request may wait longer that was
+	// refused before.
+	returnPatience = 1
+	// refusedKept is how long a refused request is remembered, and maxRefused how
+	// many of them at one server.
+	refusedKept = 15 * time.Second
+	maxRefused  = 4096
 	// activeFor is how long after the last ask an owner speaks for a server.
 	activeFor = 2 * time.Second
 	// freeSmoothing is the weight of the newest time between two freed places.
@@ -103,6 +110,32 @@
 	FirstBy  time.Time
 	Deadline time.Time
 	Arrived  time.Time
+
+	// returned says that the same request was refused before.
+	returned bool
+}
+
+// name tells the request from others, also when its caller comes back: the last
+// part of a prompt is its own.
+func (a *Ask) name() (uint64, bool) {
+	if len(a.Parts) == 0 {
+		return 0, false
+	}
+	return a.Parts[len(a.Parts)-1].ID, true
+}
+
+// startBy is when the engine has to begin with the request at the latest. A long
+// prompt is not refused for its length alone: half of the objective is for
+// reading, however much there is to read. A caller who was refused before is
+// late already; the request may wait longer, behind those that are not.
+func (a *Ask) startBy(reading time.Duration) time.Time {
+	objective := a.FirstBy.Sub(a.Arrived)
+	allowed := min(reading+firstOverhead, objective/2)
+	by := a.FirstBy.Add(-allowed)
+	if a.returned {
+		by = by.Add(returnPatience * objective)
+	}
+	return by
 }
 
 // cost is what the ask counts for in shares.
@@ -184,6 +217,7 @@
 		return
 	}
 	e.askedAt = now
+	k.returned = e.wasRefused(now, k)
 	e.queue = append(e.queue, k)
 	a.schedule(now, e)
 }
@@ -294,8 +328,15 @@
 	a.shed(now, e)
 }
 
-// sort orders the queue: by the workspaces' usage in steps, then by when the
-// first event is wanted.
+func rank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// sort orders the queue: by the workspaces' usage in steps, then those first
+// that can still be in time, then by when the first event is wanted.
 func (a *Admitter) sort(now time.Time, e *engine) {
 	steps := map[string]int{}
 	for _, k := range e.queue {
@@ -304,7 +345,11 @@
 		}
 	}
 	slices.SortStableFunc(e.queue, func(x, y *Ask) int {
-		return cmp.Or(cmp.Compare(steps[x.Workspace], steps[y.Workspace]), x.FirstBy.Compare(y.FirstBy))
+		return cmp.Or(
+			cmp.Compare(steps[x.Workspace], steps[y.Workspace]),
+			cmp.Compare(rank(x.returned), rank(y.returned)),
+			x.FirstBy.Compare(y.FirstBy),
+		)
 	})
 }
 
@@ -325,10 +370,7 @@
 		if now.Before(e.suspended) && begin.Before(e.suspended) {
 			begin = e.suspended
 		}
-		// A long prompt is not refused for its length alone: the larger half of the
-		// objective is for reading, however much there is to read.
-		allowed := min(reading+firstOverhead, k.FirstBy.Sub(k.Arrived)/2)
-		if begin.Add(allowed).After(k.FirstBy) {
+		if begin.After(k.startBy(reading)) {
 			reason := ReasonLate
 			if a.usage.of(now, k.Workspace) > a.usage.mean(now) {
 				reason = ReasonShare
@@ -343,6 +385,7 @@
 }
 
 func (a *Admitter) refuse(now time.Time, e *engine, k *Ask, reason Reason, wait time.Duration) {
+	e.noteRefused(now, k)
 	a.decide(now, e, Decision{Ask: k, Reason: reason, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)})
 }
 
--- a/internal/admitter/engine.go
+++ b/internal/admitter/engine.go
@@ -48,7 +48,9 @@
 	freedAt   time.Time
 	freeEvery time.Duration
 
-	askedAt   time.Time
+	askedAt time.Time
+	// refused holds when requests were refused, by name.
+	refused   map[uint64]time.Time
 	failures  int
 	suspended time.Time
 	penalty   time.Duration
@@ -230,6 +232,37 @@
 	}
 }
 
+// noteRefused remembers a refused request.
+func (e *engine) noteRefused(now time.Time, a *Ask) {
+	name, ok := a.name()
+	if !ok {
+		return
+	}
+	if e.refused == nil {
+		e.refused = map[uint64]time.Time{}
+	}
+	if len(e.refused) >= maxRefused {
+		for n, at := range e.refused {
+			if now.Sub(at) > refusedKept {
+				delete(e.refused, n)
+			}
+		}
+	}
+	if len(e.refused) < maxRefused {
+		e.refused[name] = now
+	}
+}
+
+// wasRefused says whether the request was refused lately.
+func (e *engine) wasRefused(now time.Time, a *Ask) bool {
+	name, ok := a.name()
+	if !ok {
+		return false
+	}
+	at, found := e.refused[name]
+	return found && now.Sub(at) <= refusedKept
+}
+
 // failed counts a failure; some in a row suspend the server for a while.
 func (e *engine) failed(now time.Time) {
 	e.failures++
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -21,9 +21,6 @@
 	tickEvery = 20 * time.Millisecond
 	// reportEvery is the period of log lines about the owned servers.
 	reportEvery = 2 * time.Second
-	// askMargin is how long after the first event is wanted an owner may answer;
-	// one that is later has lost the ask.
-	askMargin = 60 * time.Millisecond
 	// owners is the number of routers that are asked before this one decides
 	// alone.
 	owners = 2
@@ -199,9 +196,9 @@
 	return r, a.Self, err
 }
 
+// askPeer waits for the owner's decision. An owner that falls silent is noticed
+// by the exchange of news, which closes the connection to it.
 func (a *Allocator) askPeer(ctx context.Context, o messenger.Peer, k *admitter.Ask) (messenger.AskReply, error) {
-	ctx, cancel := context.WithDeadline(ctx, k.FirstBy.Add(askMargin))
-	defer cancel()
 	args := &messenger.AskArgs{Ask: *k, FirstIn: time.Until(k.FirstBy), DeadlineIn: time.Until(k.Deadline)}
 	args.Ask.FirstBy, args.Ask.Deadline, args.Ask.Arrived = time.Time{}, time.Time{}, time.Time{}
 	return a.Messenger.Ask(ctx, o.Address, args)
--- /dev/null
+++ b/internal/budgeter/budgeter_test.go
@@ -0,0 +1,68 @@
+package budgeter
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var terms = Terms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+
+type event struct {
+	at     time.Time
+	repeat bool
+}
+
+// within counts the events of a kind in the window that ends at a time.
+func within(events []event, end time.Time, repeat bool) float64 {
+	n := 0.0
+	for _, e := range events {
+		if e.repeat == repeat && !e.at.After(end) && end.Sub(e.at) < terms.Window {
+			n++
+		}
+	}
+	return n
+}
+
+// TestBudgetHoldsInEveryWindow lets several routers, which do not hear each
+// other, ask for repeats all the time, and counts all of them in every window.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "routers")
+		routers := make([]*Budgeter, n)
+		for i := range routers {
+			routers[i] = &Budgeter{Terms: terms}
+			routers[i].Share(n)
+		}
+		now := time.Unix(0, 0)
+		var events []event
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause-ms")) * time.Millisecond)
+			r := routers[rapid.IntRange(0, n-1).Draw(t, "router")]
+			if rapid.Bool().Draw(t, "request") {
+				r.Request(now, "s")
+				events = append(events, event{at: now})
+			} else if r.Repeat(now, "s") {
+				events = append(events, event{at: now, repeat: true})
+			}
+		}
+		for _, e := range events {
+			repeats := within(events, e.at, true)
+			if allowed := terms.Ratio*within(events, e.at, false) + terms.Slack; repeats > allowed {
+				t.Fatalf("%v repeats in the window that ends at %v, %v allowed", repeats, e.at, allowed)
+			}
+		}
+	})
+}
+
+func TestServicesHaveTheirOwnBudget(t *testing.T) {
+	c := qt.New(t)
+	b := &Budgeter{Terms: Terms{Ratio: 0, Slack: 2, Window: time.Second}}
+	now := time.Unix(0, 0)
+	c.Assert(b.Repeat(now, "a"), qt.IsTrue)
+	c.Assert(b.Repeat(now, "a"), qt.IsFalse)
+	c.Assert(b.Repeat(now, "b"), qt.IsTrue)
+	c.Assert(b.Repeat(now.Add(1100*time.Millisecond), "a"), qt.IsTrue)
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"io"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -99,6 +100,7 @@
 	relayer   *relayer.Relayer
 	meter     *meter
 
+	peers     net.Listener
 	callers   *http.Server
 	ready     *http.Server
 	operators *http.Server
@@ -106,6 +108,8 @@
 	done      chan struct{}
 	// closingAt is when the shutdown began, nil before.
 	closingAt atomic.Pointer[time.Time]
+	// asking says that a peer is being asked for a fresher proof.
+	asking atomic.Bool
 }
 
 // New assembles a router that logs to out; nothing runs before Start.
@@ -173,7 +177,7 @@
 	return &watcher.Watcher{
 		Operator: s.OperatorTable(), Servers: s.ServerTable(),
 		DecodeCatalog: platform.DecodeCatalog, DecodeServer: platform.DecodeServer,
-		ConfigKey: platform.ConfigKey, Now: timer.Boot, Log: n.log,
+		ConfigKey: platform.ConfigKey, Now: timer.Boot, AskAfter: n.askAfter, Log: n.log,
 	}
 }
 
--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -57,6 +57,7 @@
 	}
 	var ctx context.Context
 	ctx, n.cancel = context.WithCancel(context.Background())
+	n.peers = peers
 	n.callers = newServer(n.relayer)
 	n.ready = newServer(n.readyHandler())
 	n.operators = newServer(n.operatorHandler())
@@ -116,6 +117,19 @@
 	return ""
 }
 
+// kill ends the router at once, as a crash would; for tests.
+func (n *node) kill() {
+	now := time.Now()
+	n.closingAt.CompareAndSwap(nil, &now)
+	n.cancel()
+	n.messenger.Close()
+	for _, s := range []*http.Server{n.callers, n.ready, n.operators} {
+		// What is open is cut.
+		_ = s.Close()
+	}
+	n.peers.Close()
+}
+
 // stop shuts down gracefully: callers are turned away first, and what was read
 // is finished as far as the grace allows.
 func (n *node) stop(context.Context) error {
@@ -133,8 +147,7 @@
 	err := n.callers.Shutdown(ctx)
 	// What is still open then is cut with the process: the platform would kill it.
 	n.log("stopped", "active", n.relayer.Active(), "took-ms", time.Since(began).Milliseconds(), "err", err)
-	n.cancel()
-	n.messenger.Close()
+	n.kill()
 	close(n.done)
 	n.recorder.Flush()
 	return nil
--- a/internal/conductor/news.go
+++ b/internal/conductor/news.go
@@ -17,6 +17,14 @@
 	listEvery = 20 * time.Second
 	// listRetry is the wait after a failed try.
 	listRetry = 500 * time.Millisecond
+	// freshEnough is by how much a peer's proof must be fresher to be asked for.
+	freshEnough = 150 * time.Millisecond
+	// askFirst is the age of a proof from which the first router asks the store,
+	// askStep what each further one waits longer, askMost the most. One answer
+	// reaches all routers within two periods of news.
+	askFirst = 300 * time.Millisecond
+	askStep  = 150 * time.Millisecond
+	askMost  = 1200 * time.Millisecond
 	// unprovenAfter is the age of the proof from which peers are asked for theirs.
 	unprovenAfter = 1500 * time.Millisecond
 )
@@ -65,17 +73,48 @@
 	if reply.ProvenAgo >= 0 {
 		n.watcher.Prove(reply.Version, askedAt-reply.ProvenAgo)
 	}
+	if reply.ServersAgo >= 0 {
+		n.watcher.ProveServers(reply.ServersChanged, askedAt-reply.ServersAgo)
+	}
 }
 
-// onNews answers a peer's news.
+// onNews answers a peer's news. What a peer says unasked may have been long on
+// its way, so it proves nothing; if it claims a much fresher proof, it is asked.
 func (n *node) onNews(in *messenger.News) messenger.News {
 	n.heard(in)
+	age, ok := n.watcher.Age()
+	changed, serversAge, _ := n.watcher.ServersAge()
+	fresher := in.ProvenAgo >= 0 && (!ok || in.ProvenAgo+freshEnough < age)
+	newer := in.ServersChanged > changed || in.ServersAgo >= 0 && in.ServersAgo+freshEnough < serversAge
+	if (fresher || newer) && n.asking.CompareAndSwap(false, true) {
+		go func() {
+			defer n.asking.Store(false)
+			n.askNews(context.Background(), in.From)
+		}()
+	}
 	return n.news()
 }
 
+// askAfter returns the age of a proof from which this router asks the store. The
+// routers' order by name decides who asks first.
+func (n *node) askAfter() time.Duration {
+	rank := 0
+	for _, p := range n.roster.Reachable() {
+		if p.Name < n.self.Name {
+			rank++
+		}
+	}
+	return min(askFirst+time.Duration(rank)*askStep, askMost)
+}
+
 func (n *node) news() messenger.News {
 	loads, granted := n.allocator.Tell()
+	changed, serversAge, proven := n.watcher.ServersAge()
+	if !proven {
+		serversAge = -1
+	}
 	out := messenger.News{
+		ServersChanged: changed, ServersAgo: serversAge,
 		From: n.self, Leaving: n.isClosing(), ProvenAgo: -1, Loads: loads, Granted: granted,
 		Known: n.roster.Reachable(), Contact: n.watcher.Contact(),
 	}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -25,7 +25,12 @@
 	// never was.
 	Version   uint64
 	ProvenAgo time.Duration
-	// Contact is for how long the router has followed the store without a break.
+	// ServersChanged is the store's version of the last change to the backend
+	// servers' entries that the router knows, and ServersAgo how long ago that was
+	// provably the newest; negative if it never was.
+	ServersChanged uint64
+	ServersAgo     time.Duration
+	// Contact is for how long the router has had such proofs without a break.
 	Contact time.Duration
 	// Loads are the servers that the router owns.
 	Loads []admitter.Load
--- /dev/null
+++ b/internal/steerer/steerer_test.go
@@ -0,0 +1,58 @@
+package steerer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/internal/cataloger"
+)
+
+func servers(n int) []*cataloger.Server {
+	var out []*cataloger.Server
+	for i := range n {
+		out = append(out, &cataloger.Server{ID: fmt.Sprintf("s%d", i)})
+	}
+	return out
+}
+
+func TestHomeIsKeptWhereReadingAgainCostsMore(t *testing.T) {
+	c := qt.New(t)
+	s := servers(8)
+	home := Rank(Prompt{Home: "catalog"}, s, nil, nil)[0].ID
+	loads := map[string]Load{home: {Wait: 200 * time.Millisecond}}
+
+	long := Rank(Prompt{Home: "catalog", Shared: 5000}, s, loads, nil)
+	c.Assert(long[0].ID, qt.Equals, home)
+	short := Rank(Prompt{Home: "catalog", Shared: 200}, s, loads, nil)
+	c.Assert(short[0].ID, qt.Not(qt.Equals), home)
+
+	loads[home] = Load{Wait: time.Second}
+	c.Assert(Rank(Prompt{Home: "catalog", Shared: 5000}, s, loads, nil)[0].ID, qt.Not(qt.Equals), home)
+}
+
+func TestSuspendedAndTriedServersAreLeft(t *testing.T) {
+	c := qt.New(t)
+	s := servers(4)
+	home := Rank(Prompt{Home: "x"}, s, nil, nil)[0].ID
+	c.Assert(Rank(Prompt{Home: "x"}, s, map[string]Load{home: {Suspended: true}}, nil)[0].ID, qt.Not(qt.Equals), home)
+	c.Assert(Rank(Prompt{Home: "x"}, s, nil, []string{home})[0].ID, qt.Not(qt.Equals), home)
+	c.Assert(Rank(Prompt{Home: "x"}, s, nil, []string{"s0", "s1", "s2", "s3"}), qt.HasLen, 0)
+}
+
+// TestLeavingMovesOnlyItsOwn checks that prompts stay where their parts are kept
+// when another server goes.
+func TestLeavingMovesOnlyItsOwn(t *testing.T) {
+	c := qt.New(t)
+	all := servers(10)
+	for i := range 200 {
+		p := Prompt{Home: fmt.Sprintf("part-%d", i)}
+		before := Rank(p, all, nil, nil)[0].ID
+		after := Rank(p, all[1:], nil, nil)[0].ID
+		if before != all[0].ID {
+			c.Assert(after, qt.Equals, before)
+		}
+	}
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -16,17 +16,14 @@
 )
 
 const (
-	// followWait is how long one call waits for changes. It bounds the age of the
-	// proof that the configuration is current.
-	followWait = time.Second
 	// minBackoff and maxBackoff bound the wait after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
 	// returnWait is how long after the store's return entries may still be
 	// missing that lapsed while it was away.
 	returnWait = 2500 * time.Millisecond
-	// awayAfter is the time without an answer after which the store counts as
-	// away.
+	// awayAfter is the time without any router's proof after which the store
+	// counts as away.
 	awayAfter = 1500 * time.Millisecond
 )
 
@@ -37,12 +34,13 @@
 	Deleted bool
 }
 
-// Table reads a table whole and follows its changes. Gone says whether an error
-// means that the asked history is no longer there.
+// Table reads a table whole or its changes since a version. Both return the
+// version to go on from. Gone says whether an error means that the asked history
+// is no longer there.
 type Table struct {
-	Read   func(ctx context.Context) ([]Row, uint64, error)
-	Follow func(ctx context.Context, after uint64, wait time.Duration) ([]Row, uint64, error)
-	Gone   func(error) bool
+	Read    func(ctx context.Context) ([]Row, uint64, error)
+	Changes func(ctx context.Context, after uint64) ([]Row, uint64, error)
+	Gone    func(error) bool
 }
 
 // Watcher follows both tables. The fields up to Log must be set before Run.
@@ -56,16 +54,18 @@
 	DecodeServer  func(Row) (*cataloger.Server, error)
 	// Now reads the boot clock.
 	Now func() time.Duration
-	Log func(event string, keyvals ...any)
+	// AskAfter returns the age of a proof from which this router asks the store
+	// itself. Routers differ in it, so that one asks and the others learn of it.
+	AskAfter func() time.Duration
+	Log      func(event string, keyvals ...any)
 	// OnCatalog and OnServers are told of changes, if set.
 	OnCatalog func(*cataloger.Catalog)
 	OnServers func(*Fleet)
 
 	catalog atomic.Pointer[installed]
 	fleet   atomic.Pointer[Fleet]
-	// provenAt is when the question was asked whose answer proved that the
-	// catalog is the newest, on the boot clock, in nanoseconds; 0 for never.
-	provenAt atomic.Int64
+	config  feed
+	servers feed
 
 	installMu sync.Mutex
 	serversMu sync.Mutex
@@ -74,11 +74,42 @@
 	// lapsed entries vanished while the store was away; they are used until their
 	// time is over or the store lists them again.
 	lapsed map[string]time.Duration
-	// contactAt is since when the servers' table has been followed without a
-	// longer break, on the boot clock, in nanoseconds.
+	// contactAt is since when the servers' table has been proven current without
+	// a longer break, on the boot clock, in nanoseconds.
 	contactAt atomic.Int64
 }
 
+// feed is how current this router is with one table.
+type feed struct {
+	// provenAt is when the question was asked whose answer proved that the rows
+	// are the newest, on the boot clock, in nanoseconds; 0 for never.
+	provenAt atomic.Int64
+	// changed is the store's version of the last change that was applied.
+	changed atomic.Uint64
+	// wanted is a version that a peer has and this router must read.
+	wanted atomic.Uint64
+}
+
+// prove notes that the rows were the newest at a time.
+func (f *feed) prove(at time.Duration) {
+	for {
+		old := f.provenAt.Load()
+		if int64(at) <= old || f.provenAt.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// reach notes that everything up to a version was applied.
+func (f *feed) reach(version uint64) {
+	for {
+		old := f.changed.Load()
+		if version <= old || f.changed.CompareAndSwap(old, version) {
+			return
+		}
+	}
+}
+
 // installed is a catalog with the bytes that it was read from, for peers.
 type installed struct {
 	catalog *cataloger.Catalog
@@ -113,13 +144,36 @@
 
 // Age returns how long ago the catalog was provably the newest.
 func (w *Watcher) Age() (time.Duration, bool) {
-	at := w.provenAt.Load()
+	return w.age(&w.config)
+}
+
+func (w *Watcher) age(f *feed) (time.Duration, bool) {
+	at := f.provenAt.Load()
 	if at == 0 {
 		return 0, false
 	}
 	return w.Now() - time.Duration(at), true
 }
 
+// ServersAge returns the version of the newest change of the servers' entries,
+// and how long ago it was provably the newest.
+func (w *Watcher) ServersAge() (changed uint64, age time.Duration, proven bool) {
+	age, proven = w.age(&w.servers)
+	return w.servers.changed.Load(), age, proven
+}
+
+// ProveServers takes in that a peer's entries, changed last at a version, were
+// the newest at a time. Entries that this router lacks are read at once.
+func (w *Watcher) ProveServers(changed uint64, at time.Duration) {
+	mine := w.servers.changed.Load()
+	switch {
+	case changed == mine:
+		w.servers.prove(at)
+	case changed > mine:
+		w.servers.wanted.Store(changed)
+	}
+}
+
 // Prove notes that the catalog of a version was the newest at a time on the
 // boot clock. A proof for an older version says nothing.
 func (w *Watcher) Prove(version uint64, at time.Duration) {
@@ -127,12 +181,7 @@
 	if c == nil || c.Version != version {
 		return
 	}
-	for {
-		old := w.provenAt.Load()
-		if int64(at) <= old || w.provenAt.CompareAndSwap(old, int64(at)) {
-			return
-		}
-	}
+	w.config.prove(at)
 }
 
 // Install puts a configuration in force if it is newer than the present one.
@@ -163,8 +212,8 @@
 // Run follows both tables until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { w.follow(ctx, "configuration", w.Operator, w.onConfig) })
-	wg.Go(func() { w.follow(ctx, "servers", w.Servers, w.onServers) })
+	wg.Go(func() { w.follow(ctx, "configuration", w.Operator, &w.config, w.onConfig) })
+	wg.Go(func() { w.follow(ctx, "servers", w.Servers, &w.servers, w.onServers) })
 	wg.Wait()
 }
 
@@ -173,36 +222,45 @@
 	rows []Row
 	// whole says that the rows are the entire table.
 	whole bool
-	// askedAt and away are on the boot clock: when the question was sent, and for
-	// how long the store was away before.
+	// askedAt is when the question was sent, on the boot clock, and away the age of
+	// the newest proof then.
 	askedAt time.Duration
 	away    time.Duration
 }
 
 // follow reads a table and applies its changes.
-func (w *Watcher) follow(ctx context.Context, name string, t Table, apply func(batch)) {
+func (w *Watcher) follow(ctx context.Context, name string, t Table, f *feed, apply func(batch) bool) {
 	version, known := uint64(0), false
-	heardAt := w.Now()
 	backoff := minBackoff
 	lost := false
 	for ctx.Err() == nil {
 		b := batch{whole: !known, askedAt: w.Now()}
+		if age, ok := w.age(f); ok {
+			b.away = max(0, age)
+		}
 		var next uint64
 		var err error
 		if known {
-			b.rows, next, err = t.Follow(ctx, version, followWait)
+			b.rows, next, err = t.Changes(ctx, version)
 		} else {
 			b.rows, next, err = t.Read(ctx)
 		}
 		if err == nil {
-			b.away = max(0, b.askedAt-heardAt)
-			heardAt = w.Now()
-			apply(b)
+			if apply(b) {
+				f.prove(b.askedAt)
+			}
+			if b.whole || len(b.rows) > 0 {
+				f.reach(next)
+			}
+			if want := f.wanted.Load(); want <= next {
+				f.reach(want)
+			}
 			version, known, backoff = next, true, minBackoff
 			if lost {
 				lost = false
 				w.Log("store-regained", "table", name, "away-ms", b.away.Milliseconds())
 			}
+			w.pause(ctx, f)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -223,27 +281,37 @@
 	}
 }
 
-// onConfig installs what the store holds. Any answer proves that the catalog,
-// as it is then, was the newest when the question was sent.
-func (w *Watcher) onConfig(b batch) {
+// pauseStep is how often a waiting feed looks whether it should ask.
+const pauseStep = 20 * time.Millisecond
+
+// pause waits until the proof is old or a peer has something newer.
+func (w *Watcher) pause(ctx context.Context, f *feed) {
+	for pauser.Pause(ctx, pauseStep) {
+		age, ok := w.age(f)
+		if !ok || age >= w.AskAfter() || f.wanted.Load() > f.changed.Load() {
+			return
+		}
+	}
+}
+
+// onConfig installs what the store holds, and says whether that could be read.
+func (w *Watcher) onConfig(b batch) bool {
 	for _, r := range b.rows {
 		if r.Key != w.ConfigKey || r.Deleted {
 			continue
 		}
 		if _, err := w.Install(r.Value, "store"); err != nil {
 			w.Log("config-unreadable", "err", err)
-			return
+			return false
 		}
 	}
-	if c := w.Catalog(); c != nil {
-		w.Prove(c.Version, b.askedAt)
-	}
+	return true
 }
 
 // onServers applies changes of the servers' entries. Entries that are missing
 // after the store was away are kept for a while, since live servers write them
 // again.
-func (w *Watcher) onServers(b batch) {
+func (w *Watcher) onServers(b batch) bool {
 	w.serversMu.Lock()
 	defer w.serversMu.Unlock()
 	if w.entries == nil {
@@ -271,6 +339,7 @@
 		}
 	}
 	w.publish()
+	return true
 }
 
 // entry applies one row.
@@ -329,7 +398,7 @@
 	w.Log("server-gone", "server", id, "address", s.Address, "why", why)
 }
 
-// Contact returns for how long the store has been followed without a break.
+// Contact returns for how long the store was provably there without a break.
 func (w *Watcher) Contact() time.Duration {
 	at := w.contactAt.Load()
 	if at == 0 {
@@ -338,7 +407,7 @@
 	return w.Now() - time.Duration(at)
 }
 
-// PeerContact takes in for how long a peer has followed the store without a
+// PeerContact takes in for how long a peer had proofs of the store without a
 // break. If that is since before this router regained it, then this router was
 // cut off and not the store away: the entries that vanished are gone.
 func (w *Watcher) PeerContact(peer string, contact time.Duration) {
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -125,10 +125,14 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "servers":
-				b.w.onServers(b.batch(t, d))
+				bt := b.batch(t, d)
+				b.w.onServers(bt)
+				b.w.servers.prove(bt.askedAt)
 				return b.servers()
 			case "config":
-				b.w.onConfig(b.batch(t, d))
+				bt := b.batch(t, d)
+				b.w.onConfig(bt)
+				b.w.config.prove(bt.askedAt)
 				return b.belief()
 			case "peer-proof":
 				var version uint64
