--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -30,7 +31,7 @@
 	cacheShare = 0.5
 	// readAhead is how much reading an engine is given in advance, so that it does
 	// not idle for the time of a round trip.
-	readAhead = 60 * time.Millisecond
+	readAhead = 40 * time.Millisecond
 	// firstOverhead is the time of a first event beyond the reading: a step, and
 	// the way there and back.
 	firstOverhead = 40 * time.Millisecond
@@ -44,9 +45,10 @@
 	// maxRateStep bounds what one measurement says, rateSmoothing its weight.
 	maxRateStep   = 3
 	rateSmoothing = 0.05
-	// returnPatience is how many objectives a request may wait longer that was
-	// refused before.
-	returnPatience = 1
+	// returnPatience is the part of its objective that a request waits less for its
+	// place that was refused before: it is late already, and waits only for a place
+	// that the others leave.
+	returnPatience = 0.25
 	// refusedKept is how long a refused request is remembered, and maxRefused how
 	// many of them at one server.
 	refusedKept = 15 * time.Second
@@ -77,7 +79,15 @@
 	answerWeight = 2
 	// shareStep is the ratio of usage from which one workspace goes before
 	// another; closer ones count as equal.
-	shareStep = 1.25
+	shareStep = 1.6
+	// lengthStep is the number of tokens to read by which one request is longer
+	// than another, and maxLength the number of steps that count: the longest of a
+	// kind must not always be last.
+	lengthStep = 4000
+	maxLength  = 2
+	// readingShare is the part of an objective that is kept free for reading, if a
+	// prompt takes that long.
+	readingShare = 0.8
 	// holdSlack is how long after its deadline a hold is given up whose router
 	// did not settle it.
 	holdSlack = time.Second
@@ -125,15 +135,14 @@
 }
 
 // startBy is when the engine has to begin with the request at the latest. A long
-// prompt is not refused for its length alone: half of the objective is for
-// reading, however much there is to read. A caller who was refused before is
-// late already; the request may wait longer, behind those that are not.
+// prompt is not refused for its length alone: it may be late, but not wait long
+// before that.
 func (a *Ask) startBy(reading time.Duration) time.Time {
 	objective := a.FirstBy.Sub(a.Arrived)
-	allowed := min(reading+firstOverhead, objective/2)
+	allowed := min(reading+firstOverhead, time.Duration(readingShare*float64(objective)))
 	by := a.FirstBy.Add(-allowed)
 	if a.returned {
-		by = by.Add(returnPatience * objective)
+		by = by.Add(-time.Duration(returnPatience * float64(objective)))
 	}
 	return by
 }
@@ -275,7 +284,7 @@
 // Tick refuses what has waited too long, and gives up holds of routers that did
 // not settle them.
 func (a *Admitter) Tick(now time.Time) {
-	for _, e := range a.engines {
+	for _, e := range a.ordered() {
 		for k, h := range e.holds {
 			if now.After(h.ask.Deadline.Add(holdSlack)) {
 				a.release(now, e, k)
@@ -285,9 +294,15 @@
 	}
 }
 
+// ordered lists the engines by id, so that the same events always lead to the
+// same decisions.
+func (a *Admitter) ordered() []*engine {
+	return slices.SortedFunc(maps.Values(a.engines), func(x, y *engine) int { return cmp.Compare(x.ID, y.ID) })
+}
+
 // Forget drops the asks and holds of a router that is gone.
 func (a *Admitter) Forget(now time.Time, router string) {
-	for _, e := range a.engines {
+	for _, e := range a.ordered() {
 		e.queue = slices.DeleteFunc(e.queue, func(k *Ask) bool { return k.Router == router })
 		for k := range e.holds {
 			if k.router == router {
@@ -335,19 +350,23 @@
 	return 0
 }
 
-// sort orders the queue: by the workspaces' usage in steps, then those first
-// that can still be in time, then by when the first event is wanted.
+// sort orders the queue: those first that can still be in time, then by the
+// workspaces' usage in steps, then by how long they are in steps, then by when
+// the first event is wanted.
 func (a *Admitter) sort(now time.Time, e *engine) {
 	steps := map[string]int{}
+	length := make(map[*Ask]int, len(e.queue))
 	for _, k := range e.queue {
+		length[k] = min(maxLength, e.memory.missing(k.Prompt, k.Parts)/lengthStep)
 		if _, ok := steps[k.Workspace]; !ok {
 			steps[k.Workspace] = int(math.Log(1+a.usage.of(now, k.Workspace)) / math.Log(shareStep))
 		}
 	}
 	slices.SortStableFunc(e.queue, func(x, y *Ask) int {
 		return cmp.Or(
-			cmp.Compare(steps[x.Workspace], steps[y.Workspace]),
 			cmp.Compare(rank(x.returned), rank(y.returned)),
+			cmp.Compare(steps[x.Workspace], steps[y.Workspace]),
+			cmp.Compare(length[x], length[y]),
 			x.FirstBy.Compare(y.FirstBy),
 		)
 	})
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -50,6 +50,7 @@
 			claimCommand(out),
 			emulateCommand(out, logger),
 			loadCommand(out),
+			rehearseCommand(out),
 		},
 	}
 }
--- /dev/null
+++ b/internal/rehearser/load.go
@@ -0,0 +1,219 @@
+package rehearser
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"papayapaddle/internal/failer"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// KindInvalid marks a load file that cannot be played.
+const KindInvalid Kind = "invalid load"
+
+// Error is the error type of this package.
+type Error = failer.Error[Kind]
+
+// Load is a load to rehearse. Its format is YAML.
+type Load struct {
+	Seed    uint64  `yaml:"seed"`
+	Seconds float64 `yaml:"seconds"`
+	Engines int     `yaml:"engines"`
+	Model   Model   `yaml:"model"`
+	// Workspaces share the load; the i-th sends 1/i^Skew of it.
+	Workspaces int     `yaml:"workspaces"`
+	Skew       float64 `yaml:"skew"`
+	Classes    []Class `yaml:"classes"`
+	Events     []Event `yaml:"events"`
+}
+
+// Class is one kind of request.
+type Class struct {
+	Name      string  `yaml:"name"`
+	PerSecond float64 `yaml:"per-second"`
+	// Prompt is the mean number of tokens beyond the shared part, Spread the
+	// standard deviation of its logarithm.
+	Prompt float64 `yaml:"prompt"`
+	Spread float64 `yaml:"spread"`
+	// Shared is the size of the shared part, of which there are Parts.
+	Shared          int     `yaml:"shared"`
+	Parts           int     `yaml:"parts"`
+	Answer          float64 `yaml:"answer"`
+	ObjectiveMillis float64 `yaml:"objective-millis"`
+	TimeoutMillis   float64 `yaml:"timeout-millis"`
+	Worth           float64 `yaml:"worth"`
+	LateWorth       float64 `yaml:"late-worth"`
+}
+
+// Event is a trouble in a span of time.
+type Event struct {
+	// Kind is burst, hot-workspace, hot-part, slow-engines or dead-engines.
+	Kind  string  `yaml:"kind"`
+	At    float64 `yaml:"at"`
+	For   float64 `yaml:"for"`
+	Times float64 `yaml:"times"`
+	Class string  `yaml:"class"`
+	// Workspace is a rank by size, from 1.
+	Workspace int `yaml:"workspace"`
+	Count     int `yaml:"count"`
+}
+
+func (e Event) active(second float64) bool { return second >= e.At && second < e.At+e.For }
+
+// Parse reads and checks a load.
+func Parse(b []byte) (*Load, error) {
+	var l Load
+	d := yaml.NewDecoder(bytes.NewReader(b))
+	d.KnownFields(true)
+	if err := d.Decode(&l); err != nil {
+		return nil, failer.Wrap("read load", KindInvalid, err)
+	}
+	if bad := l.check(); len(bad) > 0 {
+		return nil, failer.New("read load", KindInvalid, strings.Join(bad, "; "))
+	}
+	return &l, nil
+}
+
+func (l *Load) check() []string {
+	var bad []string
+	if l.Seconds <= 0 || l.Engines < 1 || l.Workspaces < 1 || len(l.Classes) == 0 {
+		bad = append(bad, "seconds, engines, workspaces and classes must be given")
+	}
+	m := l.Model
+	if m.Slots < 1 || m.ReadPerMilli <= 0 || m.Chunk < 1 || m.StepMillis <= 0 || m.MemoryTokens < 1 {
+		bad = append(bad, "model: slots, memory-tokens, step-millis, read-per-milli and chunk must be positive")
+	}
+	for _, c := range l.Classes {
+		if c.PerSecond < 0 || c.Prompt <= 0 || c.Parts < 1 || c.ObjectiveMillis <= 0 || c.TimeoutMillis <= 0 {
+			bad = append(bad, fmt.Sprintf("class %q: per-second, prompt, parts, objective-millis and timeout-millis are needed", c.Name))
+		}
+	}
+	for _, e := range l.Events {
+		switch e.Kind {
+		case "burst", "hot-workspace", "hot-part", "slow-engines", "dead-engines":
+		default:
+			bad = append(bad, fmt.Sprintf("event kind %q is not known", e.Kind))
+		}
+	}
+	return bad
+}
+
+// request is one caller's request across its tries.
+type request struct {
+	id        uint64
+	class     *Class
+	workspace int
+	part      string
+	prompt    int
+	shared    int
+	answer    int
+	hint      int
+	arrived   time.Duration
+	tries     int
+	asked     time.Duration
+	engine    *engine
+	firstAt   time.Duration
+	outcome   string
+}
+
+func (r *request) deadline() time.Duration {
+	return r.arrived + time.Duration(r.class.TimeoutMillis*float64(time.Millisecond))
+}
+
+func (r *request) objective() time.Duration {
+	return time.Duration(r.class.ObjectiveMillis * float64(time.Millisecond))
+}
+
+// arrivals draws all requests of a load.
+func (l *Load) arrivals() []*request {
+	rng := rand.New(rand.NewPCG(l.Seed, 1))
+	var out []*request
+	for i := range l.Classes {
+		c := &l.Classes[i]
+		for at := 0.0; at < l.Seconds; {
+			rate := c.PerSecond * l.factor(c, at)
+			if rate <= 0 {
+				at += 0.1
+				continue
+			}
+			at += rng.ExpFloat64() / rate
+			out = append(out, l.draw(rng, c, at))
+		}
+	}
+	return out
+}
+
+// factor is how many times its usual a class has at a moment, all workspaces
+// together.
+func (l *Load) factor(c *Class, at float64) float64 {
+	f := 1.0
+	for _, e := range l.Events {
+		if e.Kind == "burst" && e.active(at) && (e.Class == "" || e.Class == c.Name) {
+			f *= e.Times
+		}
+	}
+	sum, total := 0.0, 0.0
+	for _, w := range l.weights(at) {
+		sum += w
+	}
+	for _, w := range l.weights(-1) {
+		total += w
+	}
+	return f * sum / total
+}
+
+// weights are the workspaces' parts of the load at a moment.
+func (l *Load) weights(at float64) []float64 {
+	out := make([]float64, l.Workspaces)
+	for i := range out {
+		out[i] = math.Pow(float64(i+1), -l.Skew)
+		for _, e := range l.Events {
+			if e.Kind == "hot-workspace" && e.active(at) && e.Workspace == i+1 {
+				out[i] *= e.Times
+			}
+		}
+	}
+	return out
+}
+
+func (l *Load) draw(rng *rand.Rand, c *Class, at float64) *request {
+	lognormal := func(mean, spread float64) int {
+		return max(1, int(mean*math.Exp(spread*rng.NormFloat64()-spread*spread/2)))
+	}
+	part := rng.IntN(c.Parts)
+	for _, e := range l.Events {
+		if e.Kind == "hot-part" && e.active(at) && e.Class == c.Name && rng.Float64() < e.Times {
+			part = 0
+		}
+	}
+	r := &request{
+		class: c, workspace: pick(rng, l.weights(at)), part: fmt.Sprintf("%s-%d", c.Name, part), shared: c.Shared,
+		prompt: c.Shared + min(lognormal(c.Prompt, c.Spread), int(8*c.Prompt)), answer: lognormal(c.Answer, 0.5),
+		arrived: time.Duration(at * float64(time.Second)),
+	}
+	r.hint = max(1, int(float64(r.answer)*math.Exp(0.5*rng.NormFloat64())))
+	return r
+}
+
+func pick(rng *rand.Rand, weights []float64) int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	at := rng.Float64() * sum
+	for i, w := range weights {
+		if at < w {
+			return i
+		}
+		at -= w
+	}
+	return len(weights) - 1
+}
--- /dev/null
+++ b/internal/rehearser/rehearser.go
@@ -0,0 +1,383 @@
+// Package rehearser plays a load against the decisions of the router, in virtual
+// time: a model of the engines, the admitter for all of them, and callers who
+// come back once after a refusal. It needs no network and no clock, and the same
+// load always gives the same figures.
+package rehearser
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"papayapaddle/internal/admitter"
+	"papayapaddle/internal/cataloger"
+	"papayapaddle/internal/steerer"
+)
+
+const (
+	// way is the time that a request needs to its owner and server, and an event
+	// back.
+	way = 5 * time.Millisecond
+	// tickEvery is the period of admitter.Tick.
+	tickEvery = 20 * time.Millisecond
+	// loadsEvery is how old the loads that steer a prompt may be.
+	loadsEvery = 100 * time.Millisecond
+	// paceEvery is how often a stream's pace is told.
+	paceEvery = 500 * time.Millisecond
+	// fade is the span over which grants are forgotten.
+	fade = 2 * time.Second
+	// drain is how long after the last arrival a rehearsal goes on.
+	drain = 16 * time.Second
+	// backWithin is the part of their time for which refused callers wait at most.
+	backWithin = 3
+	// maxTries is how often a caller tries.
+	maxTries = 2
+)
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// rehearsal is the state of one play.
+type rehearsal struct {
+	load     *Load
+	now      time.Duration
+	seq      int
+	agenda   events
+	admitter admitter.Admitter
+	engines  map[string]*engine
+	servers  []*cataloger.Server
+	loads    map[string]steerer.Load
+	asking   map[uint64]*request
+	nextID   uint64
+	report   Report
+}
+
+// epoch is where virtual time begins.
+var epoch = time.Unix(1_000_000, 0)
+
+func (p *rehearsal) clock() time.Time { return epoch.Add(p.now) }
+
+func (p *rehearsal) after(d time.Duration, do func()) {
+	p.seq++
+	heap.Push(&p.agenda, event{at: p.now + d, seq: p.seq, do: do})
+}
+
+// Run plays a load.
+func Run(l *Load) Report {
+	p := &rehearsal{load: l, engines: map[string]*engine{}, asking: map[uint64]*request{}}
+	p.admitter.Fade = fade
+	p.report.Classes = map[string]*Score{}
+	p.report.Workspaces = make([]Score, l.Workspaces)
+	for i := range l.Engines {
+		id := "engine-" + strconv.Itoa(i+1)
+		p.engines[id] = newEngine(id, l.Model)
+		p.servers = append(p.servers, &cataloger.Server{ID: id})
+	}
+	for _, r := range l.arrivals() {
+		p.after(r.arrived, func() { p.arrive(r) })
+	}
+	for _, e := range l.Events {
+		p.trouble(e)
+	}
+	end := time.Duration(l.Seconds*float64(time.Second)) + drain
+	p.tick(end)
+	for p.agenda.Len() > 0 {
+		e := heap.Pop(&p.agenda).(event)
+		if e.at > end {
+			break
+		}
+		p.now = e.at
+		e.do()
+		p.decided()
+	}
+	p.report.finish()
+	return p.report
+}
+
+func (p *rehearsal) tick(end time.Duration) {
+	p.admitter.Tick(p.clock())
+	if p.now%loadsEvery == 0 {
+		p.loads = map[string]steerer.Load{}
+		for _, v := range p.admitter.Loads(p.clock()) {
+			p.loads[v.Server] = v
+		}
+	}
+	if p.now < end {
+		p.after(tickEvery, func() { p.tick(end) })
+	}
+}
+
+// trouble slows engines down or stops them for a while.
+func (p *rehearsal) trouble(e Event) {
+	if e.Kind != "slow-engines" && e.Kind != "dead-engines" {
+		return
+	}
+	set := func(on bool) {
+		for _, s := range p.servers[:min(e.Count, len(p.servers))] {
+			g := p.engines[s.ID]
+			g.slow, g.dead = 1, on && e.Kind == "dead-engines"
+			if on && e.Kind == "slow-engines" {
+				g.slow = e.Times
+			}
+			p.wake(g)
+		}
+	}
+	p.after(time.Duration(e.At*float64(time.Second)), func() { set(true) })
+	p.after(time.Duration((e.At+e.For)*float64(time.Second)), func() { set(false) })
+}
+
+// arrive brings a request, new or back, to the owner of its server.
+func (p *rehearsal) arrive(r *request) {
+	if r.tries == 0 {
+		p.report.ask(r)
+	}
+	r.tries++
+	p.nextID++
+	r.id = p.nextID
+	ranked := steerer.Rank(steerer.Prompt{Home: r.part, Shared: r.shared}, p.servers, p.loads, nil)
+	r.engine = p.engines[ranked[0].ID]
+	r.asked = p.now
+	own := fmt.Sprint("own-", r.arrived, "-", r.workspace)
+	p.asking[r.id] = r
+	p.after(way, func() {
+		now := p.clock()
+		p.admitter.Ask(now, &admitter.Ask{
+			Router: "router", ID: r.id, Workspace: strconv.Itoa(r.workspace),
+			Engine: admitter.Engine{ID: r.engine.id, Slots: p.load.Model.Slots, MemoryTokens: p.load.Model.MemoryTokens},
+			Prompt: r.prompt, Answer: r.hint, Arrived: now, FirstBy: now.Add(r.objective()), Deadline: epoch.Add(r.deadline()),
+			Parts: admitter.Chain("m", []string{r.part, own}, []int{r.shared, r.prompt - r.shared}),
+		})
+	})
+}
+
+// decided carries out what the admitter decided.
+func (p *rehearsal) decided() {
+	for _, d := range p.admitter.Take() {
+		r := p.asking[d.Ask.ID]
+		delete(p.asking, d.Ask.ID)
+		switch {
+		case r == nil:
+		case d.Granted:
+			p.after(way, func() { p.start(r) })
+		default:
+			p.refused(r, d.RetryAfter)
+		}
+	}
+}
+
+// refused sends the caller away; it comes back once.
+func (p *rehearsal) refused(r *request, retryAfter time.Duration) {
+	p.report.Refusals++
+	p.report.LongestRefusal = max(p.report.LongestRefusal, p.now-r.asked)
+	left := r.deadline() - p.now
+	if r.tries >= maxTries || left <= 0 {
+		p.report.end(r, "refused")
+		return
+	}
+	p.after(min(retryAfter, left/backWithin), func() { p.arrive(r) })
+}
+
+// start brings a granted request to its engine.
+func (p *rehearsal) start(r *request) {
+	g := r.engine
+	if _, ok := g.kept[r.part]; !ok && r.shared > 0 {
+		p.report.SharedRead += r.shared
+	}
+	g.add(p.now, r)
+	p.wake(g)
+	id := r.id
+	p.after(max(0, r.deadline()-p.now), func() {
+		if r.outcome == "" && r.id == id {
+			g.cancel(r)
+			p.settle(r, admitter.Outcome{Done: true, Failed: r.firstAt == 0})
+			p.report.end(r, "failed")
+		}
+	})
+}
+
+func (p *rehearsal) settle(r *request, o admitter.Outcome) {
+	o.Router, o.ID, o.Server = "router", r.id, r.engine.id
+	p.after(way, func() { p.admitter.Settle(p.clock(), o) })
+}
+
+// wake makes an engine go on stepping.
+func (p *rehearsal) wake(g *engine) {
+	if !g.stepping {
+		g.stepping = true
+		p.after(0, func() { p.step(g) })
+	}
+}
+
+func (p *rehearsal) step(g *engine) {
+	length, began, ended := g.step()
+	if length == 0 {
+		g.stepping = false
+		return
+	}
+	p.after(length, func() {
+		for _, t := range began {
+			t.r.firstAt = p.now
+			t.gapFrom = p.now
+			p.settle(t.r, admitter.Outcome{First: true})
+		}
+		for _, t := range g.running {
+			if t.begun && p.now-t.gapFrom >= paceEvery {
+				p.settle(t.r, admitter.Outcome{Gap: (p.now - t.gapFrom) / time.Duration(max(1, t.tokens))})
+				t.gapFrom, t.tokens = p.now, 0
+			}
+		}
+		for _, t := range ended {
+			p.settle(t.r, admitter.Outcome{Done: true})
+			outcome := "late"
+			if t.r.firstAt+way-t.r.arrived <= t.r.objective() {
+				outcome = "in-time"
+			}
+			p.report.end(t.r, outcome)
+		}
+		p.step(g)
+	})
+}
+
+// Score counts what became of requests.
+type Score struct {
+	Asked   int
+	InTime  int
+	Late    int
+	Refused int
+	Failed  int
+	// Worth is what was earned, Owed what all would have earned in time.
+	Worth float64
+	Owed  float64
+	// Tokens is what was served, an answer's tokens counting twice.
+	Tokens float64
+}
+
+// Share is the part of the worth that was earned.
+func (s Score) Share() float64 {
+	if s.Owed == 0 {
+		return 1
+	}
+	return s.Worth / s.Owed
+}
+
+// Report is what a rehearsal showed.
+type Report struct {
+	Total      Score
+	Classes    map[string]*Score
+	Workspaces []Score
+	Refusals   int
+	// LongestRefusal is the longest time until a refusal.
+	LongestRefusal time.Duration
+	// SharedRead is the number of tokens of shared parts that engines read.
+	SharedRead int
+	// Fairness is Jain's index over the workspaces' tokens, each against the lesser
+	// of what it asked and an even share.
+	Fairness float64
+}
+
+func (r *Report) scores(q *request) []*Score {
+	c := r.Classes[q.class.Name]
+	if c == nil {
+		c = &Score{}
+		r.Classes[q.class.Name] = c
+	}
+	return []*Score{&r.Total, c, &r.Workspaces[q.workspace]}
+}
+
+func (r *Report) ask(q *request) {
+	for _, s := range r.scores(q) {
+		s.Asked++
+		s.Owed += q.class.Worth
+	}
+}
+
+func (r *Report) end(q *request, outcome string) {
+	if q.outcome != "" {
+		return
+	}
+	q.outcome = outcome
+	for _, s := range r.scores(q) {
+		switch outcome {
+		case "in-time":
+			s.InTime++
+			s.Worth += q.class.Worth
+		case "late":
+			s.Late++
+			s.Worth += q.class.LateWorth
+		case "refused":
+			s.Refused++
+		default:
+			s.Failed++
+		}
+		if outcome == "in-time" || outcome == "late" {
+			s.Tokens += float64(q.prompt + 2*q.answer)
+		}
+	}
+}
+
+// finish works out the fairness.
+func (r *Report) finish() {
+	shares := make([]float64, 0, len(r.Workspaces))
+	for _, s := range r.Workspaces {
+		if s.Asked > 0 {
+			shares = append(shares, s.Share())
+		}
+	}
+	sum, squares := 0.0, 0.0
+	for _, v := range shares {
+		sum += v
+		squares += v * v
+	}
+	if squares > 0 {
+		r.Fairness = sum * sum / (float64(len(shares)) * squares)
+	}
+}
+
+// Write prints the report, one line each.
+func (r *Report) Write(w io.Writer) {
+	line := func(name string, s Score) {
+		fmt.Fprintf(w, "%s asked=%d in-time=%d late=%d refused=%d failed=%d share=%.3f\n",
+			name, s.Asked, s.InTime, s.Late, s.Refused, s.Failed, s.Share())
+	}
+	line("total", r.Total)
+	names := make([]string, 0, len(r.Classes))
+	for n := range r.Classes {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for _, n := range names {
+		line("class "+n, *r.Classes[n])
+	}
+	worst, at := math.Inf(1), 0
+	for i, s := range r.Workspaces {
+		if s.Asked > 0 && s.Share() < worst {
+			worst, at = s.Share(), i+1
+		}
+	}
+	fmt.Fprintf(w, "worst-workspace %d share=%.3f\n", at, worst)
+	fmt.Fprintf(w, "refusals %d longest-ms=%d\n", r.Refusals, r.LongestRefusal.Milliseconds())
+	fmt.Fprintf(w, "shared-tokens-read %d\nfairness %.3f\n", r.SharedRead, r.Fairness)
+}
