--- a/internal/rehearser/load.go
+++ b/internal/rehearser/load.go
@@ -116,18 +116,23 @@
 	shared    int
 	answer    int
 	hint      int
-	arrived   time.Duration
-	tries     int
-	asked     time.Duration
-	engine    *engine
-	firstAt   time.Duration
-	outcome   string
+	// long says that the prompt is among the longest tenth of its class.
+	long    bool
+	arrived time.Duration
+	tries   int
+	asked   time.Duration
+	engine  *engine
+	firstAt time.Duration
+	outcome string
 }
 
 func (r *request) deadline() time.Duration {
 	return r.arrived + time.Duration(r.class.TimeoutMillis*float64(time.Millisecond))
 }
 
+// tokens is what the request counts for in shares.
+func (r *request) tokens() float64 { return float64(r.prompt + 2*r.answer) }
+
 func (r *request) objective() time.Duration {
 	return time.Duration(r.class.ObjectiveMillis * float64(time.Millisecond))
 }
@@ -151,6 +156,9 @@
 	return out
 }
 
+// longTenth is the point of a normal distribution above which a tenth lies.
+const longTenth = 1.2816
+
 // factor is how many times its usual a class has at a moment, all workspaces
 // together.
 func (l *Load) factor(c *Class, at float64) float64 {
@@ -199,6 +207,7 @@
 		prompt: c.Shared + min(lognormal(c.Prompt, c.Spread), int(8*c.Prompt)), answer: lognormal(c.Answer, 0.5),
 		arrived: time.Duration(at * float64(time.Second)),
 	}
+	r.long = float64(r.prompt-r.shared) > c.Prompt*math.Exp(longTenth*c.Spread-c.Spread*c.Spread/2)
 	r.hint = max(1, int(float64(r.answer)*math.Exp(0.5*rng.NormFloat64())))
 	return r
 }
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -25,10 +25,10 @@
 	readRate = 40_000
 	// rereadWeight is what reading again counts for against waiting: it takes the
 	// time of all requests at that server, and crowds out what the server keeps.
-	rereadWeight = 6
+	rereadWeight = 10
 	// margin is the wait by which another home must be better: loads are some
 	// hundred milliseconds old.
-	margin = 60 * time.Millisecond
+	margin = 100 * time.Millisecond
 )
 
 // Prompt is what is known of a request's prompt.
