--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -57,19 +57,6 @@
 	activeFor = 2 * time.Second
 	// freeSmoothing is the weight of the newest time between two freed places.
 	freeSmoothing = 0.2
-	// gapSmoothing is the weight of the newest time between two tokens, of which
-	// each running stream tells some a second.
-	gapSmoothing = 0.05
-	// targetGap is the time between two tokens up to which prompts are handed over
-	// faster.
-	targetGap = 1000 * time.Millisecond
-	// paceEvery is the least time between two changes of the rate at which prompts
-	// are handed over; it falls by paceDown and rises by paceUp.
-	paceEvery = 200 * time.Millisecond
-	paceDown  = 0.93
-	paceUp    = 1.03
-	// minPaceShare is the least part of the reading speed that is used.
-	minPaceShare = 0.2
 	// failuresToSuspend is the number of failures in a row that suspend a server.
 	failuresToSuspend = 3
 	// minSuspend and maxSuspend bound how long a failing server gets no work.
@@ -190,8 +177,6 @@
 	Done  bool
 	// Failed says that the server failed it.
 	Failed bool
-	// Gap is the mean time between two tokens, 0 if unknown.
-	Gap time.Duration
 }
 
 // Admitter holds the models of the owned servers. Fade must be set: the span
@@ -231,6 +216,18 @@
 	a.schedule(now, e)
 }
 
+// Adopt takes over a request that another owner granted. Its prompt counts as
+// read, and its workspace was charged by that owner.
+func (a *Admitter) Adopt(now time.Time, k *Ask) {
+	e := a.engine(k.Engine)
+	key := holdKey{k.Router, k.ID}
+	if e.holds[key] != nil {
+		return
+	}
+	e.memory.read(now, k.Parts)
+	e.holds[key] = &hold{ask: k, grantedAt: now, started: true}
+}
+
 // Cancel drops an ask that waits or a hold whose router does not want it.
 func (a *Admitter) Cancel(now time.Time, server, router string, id uint64) {
 	e := a.engines[server]
@@ -269,9 +266,6 @@
 		e.first(now, h)
 		e.worked()
 	}
-	if o.Gap > 0 {
-		e.learnGap(now, o.Gap)
-	}
 	if o.Failed {
 		e.failed(now)
 	}
@@ -398,7 +392,7 @@
 			continue
 		}
 		keep = append(keep, k)
-		at = begin.Add(e.handTime(e.memory.missing(k.Prompt, k.Parts)))
+		at = begin.Add(reading)
 	}
 	e.queue = keep
 }
@@ -464,7 +458,6 @@
 	Waiting  int     `json:"waiting"`
 	Places   int     `json:"places"`
 	ReadRate float64 `json:"read-tokens-per-second"`
-	GapMS    float64 `json:"gap-ms"`
 	Failures int     `json:"failures"`
 	WaitMS   float64 `json:"wait-ms"`
 }
@@ -475,7 +468,7 @@
 	for id, e := range a.engines {
 		out = append(out, State{
 			Server: id, Active: e.active(now), Running: len(e.holds), Waiting: len(e.queue), Places: e.places(), ReadRate: e.readRate,
-			GapMS: e.gap.Seconds() * 1000, Failures: e.failures, WaitMS: e.wait(now).Seconds() * 1000,
+			Failures: e.failures, WaitMS: e.wait(now).Seconds() * 1000,
 		})
 	}
 	slices.SortFunc(out, func(x, y State) int { return cmp.Compare(x.Server, y.Server) })
--- a/internal/admitter/engine.go
+++ b/internal/admitter/engine.go
@@ -33,17 +33,8 @@
 	queue []*Ask
 	// busyTill is when the engine will have read all granted prompts.
 	busyTill time.Time
-	// paceTill keeps the share of time spent on prompts within bounds; see
-	// paceRate.
-	paceTill time.Time
 	// readRate is the engine's reading speed in tokens a second, learned.
 	readRate float64
-	// paceRate is the rate in tokens a second at which prompts are handed over.
-	paceRate float64
-	// gap is the smoothed time between two tokens of a stream.
-	gap time.Duration
-	// pacedAt is when paceRate was last changed.
-	pacedAt time.Time
 	// freedAt and freeEvery tell how often a place becomes free.
 	freedAt   time.Time
 	freeEvery time.Duration
@@ -62,7 +53,6 @@
 		memory:   memory{capacity: int(float64(e.MemoryTokens) * cacheShare)},
 		holds:    map[holdKey]*hold{},
 		readRate: initialReadRate,
-		paceRate: initialReadRate,
 	}
 }
 
@@ -72,16 +62,8 @@
 // places is the number of requests that the engine may run at the same time.
 func (e *engine) places() int { return max(1, int(float64(e.Slots)*placeShare)) }
 
-// backlog is how long the engine has still to read, or longer if prompts are
-// handed over more slowly than it reads.
-func (e *engine) backlog(now time.Time) time.Duration {
-	return max(0, e.busyTill.Sub(now), e.paceTill.Sub(now))
-}
-
-// handTime is how long the reading of so many tokens keeps others waiting.
-func (e *engine) handTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / min(e.readRate, e.paceRate) * float64(time.Second))
-}
+// backlog is how long the engine has still to read.
+func (e *engine) backlog(now time.Time) time.Duration { return max(0, e.busyTill.Sub(now)) }
 
 // tokensHeld is the memory that running requests need at most.
 func (e *engine) tokensHeld() int {
@@ -123,10 +105,6 @@
 		e.busyTill = now
 	}
 	e.busyTill = e.busyTill.Add(e.readTime(h.reading))
-	if e.paceTill.Before(now) {
-		e.paceTill = now
-	}
-	e.paceTill = e.paceTill.Add(time.Duration(float64(h.reading) / e.paceRate * float64(time.Second)))
 	h.firstBy = e.busyTill.Add(firstOverhead)
 	e.holds[holdKey{a.Router, a.ID}] = h
 	e.order = append(e.order, h)
@@ -175,27 +153,6 @@
 	e.readRate = min(max(e.readRate*(1+rateSmoothing*(off-1)), minReadRate), maxReadRate)
 }
 
-// learnGap takes in how fast a stream's tokens came lately. Each step of the
-// engine reads prompts and makes one token for each running request, so the
-// more is read the slower all answers are: the rate at which prompts are handed
-// over follows from the time between tokens.
-func (e *engine) learnGap(now time.Time, g time.Duration) {
-	if e.gap == 0 {
-		e.gap = g
-	}
-	e.gap += time.Duration(gapSmoothing * float64(g-e.gap))
-	if now.Sub(e.pacedAt) < paceEvery {
-		return
-	}
-	e.pacedAt = now
-	if e.gap > targetGap {
-		e.paceRate *= paceDown
-	} else {
-		e.paceRate *= paceUp
-	}
-	e.paceRate = min(max(e.paceRate, minPaceShare*e.readRate), e.readRate)
-}
-
 // end takes a hold back.
 func (e *engine) end(now time.Time, k holdKey) *hold {
 	h := e.holds[k]
@@ -282,7 +239,7 @@
 func (e *engine) wait(now time.Time) time.Duration {
 	w := e.backlog(now)
 	for _, a := range e.queue {
-		w += e.handTime(e.memory.missing(a.Prompt, a.Parts))
+		w += e.readTime(e.memory.missing(a.Prompt, a.Parts))
 	}
 	if n := len(e.holds) + len(e.queue) - e.places(); n >= 0 {
 		w = max(w, time.Duration(n+1)*e.freeEvery)
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +23,8 @@
 	tickEvery = 20 * time.Millisecond
 	// reportEvery is the period of log lines about the owned servers.
 	reportEvery = 2 * time.Second
+	// handOverEvery is how often the owners of held places are looked up again.
+	handOverEvery = 200 * time.Millisecond
 	// owners is the number of routers that are asked before this one decides
 	// alone.
 	owners = 2
@@ -46,10 +50,12 @@
 type Place struct {
 	Server *cataloger.Server
 
-	a     *Allocator
-	id    uint64
+	a    *Allocator
+	ask  *admitter.Ask
+	once sync.Once
+
+	mu    sync.Mutex
 	owner messenger.Peer
-	once  sync.Once
 }
 
 // Refusal is why there is no place, with the owner's inputs.
@@ -83,6 +89,10 @@
 	Admitter admitter.Admitter
 	waiters  map[waiterKey]chan admitter.Decision
 
+	// places are the granted ones that have not ended.
+	placesMu sync.Mutex
+	places   map[uint64]*Place
+
 	loadsMu sync.RWMutex
 	loads   map[string]steerer.Load
 }
@@ -98,12 +108,16 @@
 	defer t.Stop()
 	report := time.NewTicker(reportEvery)
 	defer report.Stop()
+	handOver := time.NewTicker(handOverEvery)
+	defer handOver.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 			a.do(func(now time.Time, ad *admitter.Admitter) { ad.Tick(now) })
+		case <-handOver.C:
+			a.HandOver()
 		case <-report.C:
 			a.report()
 		}
@@ -115,7 +129,7 @@
 	for _, s := range a.Dump() {
 		if s.Active {
 			a.Log("engine", "server", s.Server, "running", s.Running, "places", s.Places, "waiting", s.Waiting,
-				"wait-ms", int(s.WaitMS), "read-rate", int(s.ReadRate), "token-gap-ms", s.GapMS, "failures", s.Failures)
+				"wait-ms", int(s.WaitMS), "read-rate", int(s.ReadRate), "failures", s.Failures)
 		}
 	}
 }
@@ -155,7 +169,7 @@
 			return nil, &Refusal{Reason: ReasonCanceled, Server: s.ID, Owner: owner.Name, Asks: asks}
 		}
 		if r.Granted {
-			return &Place{Server: s, a: a, id: ask.ID, owner: owner}, nil
+			return a.hold(&Place{Server: s, a: a, ask: ask, owner: owner}), nil
 		}
 		if last == nil || r.RetryAfter < last.RetryAfter {
 			last = &Refusal{Reason: r.Reason, Server: s.ID, Owner: owner.Name, Reply: r, RetryAfter: r.RetryAfter}
@@ -182,7 +196,7 @@
 			return r, o, nil
 		}
 		if ctx.Err() != nil {
-			a.Messenger.Settle(o.Address, a.Self.Name, nil, []messenger.Canceled{{Server: k.Engine.ID, ID: k.ID}})
+			a.withdraw(o, k)
 			return messenger.AskReply{}, o, err
 		}
 		a.Log("owner-lost", "owner", o.Name, "server", k.Engine.ID, "err", err)
@@ -190,7 +204,7 @@
 			a.Roster.Lost(o.Name)
 		}
 		// The owner may have granted it all the same.
-		a.Messenger.Settle(o.Address, a.Self.Name, nil, []messenger.Canceled{{Server: k.Engine.ID, ID: k.ID}})
+		a.withdraw(o, k)
 	}
 	r, err := a.decide(ctx, k)
 	return r, a.Self, err
@@ -253,6 +267,11 @@
 // HandleSettle takes a peer's outcomes in.
 func (a *Allocator) HandleSettle(s *messenger.Settlement) {
 	a.do(func(now time.Time, ad *admitter.Admitter) {
+		for _, h := range s.Held {
+			k := h.Ask
+			k.Arrived, k.FirstBy, k.Deadline = now, now, now.Add(h.DeadlineIn)
+			ad.Adopt(now, &k)
+		}
 		for _, o := range s.Outcomes {
 			ad.Settle(now, o)
 		}
@@ -269,25 +288,88 @@
 }
 
 // Began tells the owner that the first event came.
-func (p *Place) Began() {
-	p.tell(admitter.Outcome{First: true})
-}
-
-// Pace tells the owner the mean time between two tokens of late.
-func (p *Place) Pace(gap time.Duration) { p.tell(admitter.Outcome{Gap: gap}) }
+func (p *Place) Began() { p.tell(admitter.Outcome{First: true}) }
 
 // End tells the owner that the request ended.
 func (p *Place) End(failed bool) {
-	p.once.Do(func() { p.tell(admitter.Outcome{Done: true, Failed: failed}) })
+	p.once.Do(func() {
+		p.a.placesMu.Lock()
+		delete(p.a.places, p.ask.ID)
+		p.a.placesMu.Unlock()
+		p.tell(admitter.Outcome{Done: true, Failed: failed})
+	})
 }
 
 func (p *Place) tell(o admitter.Outcome) {
-	o.Router, o.ID, o.Server = p.a.Self.Name, p.id, p.Server.ID
-	if p.owner.Name == p.a.Self.Name {
-		p.a.do(func(now time.Time, ad *admitter.Admitter) { ad.Settle(now, o) })
+	o.Router, o.ID, o.Server = p.a.Self.Name, p.ask.ID, p.Server.ID
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.a.settle(p.owner, messenger.Settlement{Outcomes: []admitter.Outcome{o}})
+}
+
+// settle tells an owner, which may be this router.
+func (a *Allocator) settle(owner messenger.Peer, s messenger.Settlement) {
+	s.From = a.Self.Name
+	if owner.Name == a.Self.Name {
+		a.HandleSettle(&s)
 		return
 	}
-	p.a.Messenger.Settle(p.owner.Address, p.a.Self.Name, []admitter.Outcome{o}, nil)
+	a.Messenger.Settle(owner.Address, s)
+}
+
+// withdraw tells an owner that nobody waits for an ask.
+func (a *Allocator) withdraw(owner messenger.Peer, k *admitter.Ask) {
+	a.settle(owner, messenger.Settlement{Canceled: []messenger.Canceled{{Server: k.Engine.ID, ID: k.ID}}})
+}
+
+// hold notes a granted place.
+func (a *Allocator) hold(p *Place) *Place {
+	a.placesMu.Lock()
+	defer a.placesMu.Unlock()
+	if a.places == nil {
+		a.places = map[uint64]*Place{}
+	}
+	a.places[p.ask.ID] = p
+	return p
+}
+
+// HandOver tells new owners of servers which of their places this router's
+// requests hold, so that they do not hand an engine more than it can take.
+func (a *Allocator) HandOver() {
+	a.placesMu.Lock()
+	places := slices.Collect(maps.Values(a.places))
+	a.placesMu.Unlock()
+	owners := map[string]messenger.Peer{}
+	for _, p := range places {
+		id := p.Server.ID
+		o, ok := owners[id]
+		if !ok {
+			o = a.Self
+			if first := a.Roster.Owners(id, p.Server.AvailabilityZone, 1); len(first) > 0 {
+				o = first[0]
+			}
+			owners[id] = o
+		}
+		p.moveTo(o)
+	}
+}
+
+// moveTo tells a place to another owner. An owner that was replaced by a new
+// process knows nothing of it, so the incarnation counts too.
+func (p *Place) moveTo(o messenger.Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.owner == o {
+		return
+	}
+	was := p.owner
+	p.owner = o
+	h := messenger.Held{Ask: *p.ask, DeadlineIn: time.Until(p.ask.Deadline)}
+	h.Ask.FirstBy, h.Ask.Deadline, h.Ask.Arrived = time.Time{}, time.Time{}, time.Time{}
+	p.a.settle(o, messenger.Settlement{Held: []messenger.Held{h}})
+	if was.Name != o.Name {
+		p.a.withdraw(was, p.ask)
+	}
 }
 
 // Loads returns the servers' loads as last heard.
--- /dev/null
+++ b/internal/allocator/allocator_test.go
@@ -0,0 +1,192 @@
+package allocator
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/internal/admitter"
+	"papayapaddle/internal/cataloger"
+	"papayapaddle/internal/messenger"
+	"papayapaddle/internal/steerer"
+)
+
+// network joins routers by pipes; a router that is cut is not reached.
+type network struct {
+	routers map[string]*router
+	cut     map[string]bool
+}
+
+type router struct {
+	*Allocator
+	accept chan net.Conn
+}
+
+func (r *router) Accept() (net.Conn, error) {
+	c, ok := <-r.accept
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (r *router) Close() error   { return nil }
+func (r *router) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (n *network) dial(_ context.Context, _, address string) (net.Conn, error) {
+	r := n.routers[address]
+	if r == nil || n.cut[address] {
+		return nil, net.ErrClosed
+	}
+	a, b := net.Pipe()
+	r.accept <- b
+	return a, nil
+}
+
+var service = &cataloger.Service{Name: "s", Engine: &cataloger.Engine{Slots: 10, MemoryTokens: 100_000}}
+
+func (n *network) add(name string) *router {
+	self := messenger.Peer{Name: name, Address: name, AvailabilityZone: "z", Incarnation: 1}
+	boot := time.Now()
+	r := &router{accept: make(chan net.Conn, 8), Allocator: &Allocator{
+		Self: self, Roster: messenger.NewRoster(self, time.Hour, func() time.Duration { return time.Hour + time.Since(boot) }),
+		Messenger: &messenger.Messenger{Dial: n.dial}, Admitter: admitter.Admitter{Fade: 2 * time.Second},
+		Servers: func(string) []*cataloger.Server {
+			return []*cataloger.Server{{ID: "e", Service: "s", AvailabilityZone: "z"}}
+		},
+		Log: func(string, ...any) {},
+	}}
+	r.Messenger.Handlers = messenger.Handlers{
+		News: func(*messenger.News) messenger.News { return messenger.News{} }, Ask: r.HandleAsk, Settle: r.HandleSettle,
+		Fetch: func(uint64) []byte { return nil },
+	}
+	go func() { _ = r.Messenger.Serve(r) }()
+	n.routers[name] = r
+	return r
+}
+
+// meet makes all routers hear each other.
+func (n *network) meet() {
+	for _, a := range n.routers {
+		for _, b := range n.routers {
+			a.Roster.Heard(b.Self, false)
+		}
+	}
+}
+
+func (n *network) close() {
+	synctest.Wait()
+	for _, r := range n.routers {
+		r.Messenger.Close()
+		close(r.accept)
+	}
+	synctest.Wait()
+}
+
+func need() *Need {
+	now := time.Now()
+	return &Need{
+		Workspace: "w", Service: service, Prompt: 100, Parts: admitter.Chain("m", []string{"p"}, []int{100}), Answer: 10,
+		Steer: steerer.Prompt{Home: "p"}, Arrived: now, FirstBy: now.Add(time.Second), Deadline: now.Add(15 * time.Second),
+	}
+}
+
+// running returns what a router believes to run on the engine.
+func (r *router) running() int {
+	for _, s := range r.Dump() {
+		return s.Running
+	}
+	return 0
+}
+
+// TestHoldsFollowTheOwner moves the ownership of an engine while requests run on
+// it: the new owner knows of them, and the old one forgets them.
+func TestHoldsFollowTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := &network{routers: map[string]*router{}, cut: map[string]bool{}}
+		defer n.close()
+		a, b := n.add("a"), n.add("b")
+		n.meet()
+		owner, other := a, b
+		if a.Roster.Owners("e", "z", 1)[0].Name == "b" {
+			owner, other = b, a
+		}
+		var places []*Place
+		for range 4 {
+			p, refusal := other.Acquire(context.Background(), need())
+			c.Assert(refusal, qt.IsNil)
+			p.Began()
+			places = append(places, p)
+		}
+		synctest.Wait()
+		c.Assert(owner.running(), qt.Equals, 4)
+		c.Assert(other.running(), qt.Equals, 0)
+
+		// The owner says that it leaves.
+		other.Roster.Heard(owner.Self, true)
+		other.HandOver()
+		synctest.Wait()
+		c.Assert(owner.running(), qt.Equals, 0)
+		c.Assert(other.running(), qt.Equals, 4)
+
+		for _, p := range places {
+			p.End(false)
+		}
+		synctest.Wait()
+		c.Assert(other.running(), qt.Equals, 0)
+	})
+}
+
+// TestOwnerThatCannotBeReached asks while the owner is cut off: this router
+// decides alone.
+func TestOwnerThatCannotBeReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := &network{routers: map[string]*router{}, cut: map[string]bool{}}
+		defer n.close()
+		a, b := n.add("a"), n.add("b")
+		n.meet()
+		owner, other := a, b
+		if a.Roster.Owners("e", "z", 1)[0].Name == "b" {
+			owner, other = b, a
+		}
+		n.cut[owner.Self.Name] = true
+		p, refusal := other.Acquire(context.Background(), need())
+		c.Assert(refusal, qt.IsNil)
+		c.Assert(other.running(), qt.Equals, 1)
+		c.Assert(other.Roster.IsReachable(owner.Self.Name), qt.IsFalse)
+		p.End(false)
+		c.Assert(other.running(), qt.Equals, 0)
+	})
+}
+
+// TestCallerLeavesWhileItWaits drops the ask at the owner.
+func TestCallerLeavesWhileItWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := &network{routers: map[string]*router{}, cut: map[string]bool{}}
+		defer n.close()
+		a, b := n.add("a"), n.add("b")
+		n.meet()
+		owner, other := a, b
+		if a.Roster.Owners("e", "z", 1)[0].Name == "b" {
+			owner, other = b, a
+		}
+		long := need()
+		long.Prompt = 20_000
+		long.Parts = admitter.Chain("m", []string{"long"}, []int{20_000})
+		p, refusal := other.Acquire(context.Background(), long)
+		c.Assert(refusal, qt.IsNil)
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(10*time.Millisecond, cancel)
+		_, refusal = other.Acquire(ctx, need())
+		c.Assert(refusal.Reason, qt.Equals, ReasonCanceled)
+		synctest.Wait()
+		c.Assert(owner.Dump()[0].Waiting, qt.Equals, 0)
+		p.End(false)
+	})
+}
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -51,6 +51,7 @@
 			emulateCommand(out, logger),
 			loadCommand(out),
 			rehearseCommand(out),
+			explainCommand(out),
 		},
 	}
 }
--- a/internal/conductor/place.go
+++ b/internal/conductor/place.go
@@ -32,7 +32,7 @@
 		return nil, &relayer.Refusal{Reason: "no-server", RetryAfter: retryNoServer, Detail: []any{"tried", len(c.Exclude)}}
 	}
 	return &relayer.Place{
-		Server: s, Began: func() {}, Pace: func(time.Duration) {},
+		Server: s, Began: func() {},
 		End: func(e relayer.End) { n.balancer.End(time.Now(), s.ID, e.Failed, e.Full, e.Took) },
 	}, nil
 }
@@ -44,11 +44,9 @@
 	if r != nil {
 		return nil, &relayer.Refusal{Reason: string(r.Reason), RetryAfter: r.RetryAfter, Detail: refusalDetail(r)}
 	}
-	stride := max(1, c.Service.Engine.EventTokens)
 	return &relayer.Place{
 		Server: p.Server, Began: p.Began,
-		Pace: func(gap time.Duration) { p.Pace(gap / time.Duration(stride)) },
-		End:  func(e relayer.End) { p.End(e.Failed || e.Full) },
+		End: func(e relayer.End) { p.End(e.Failed || e.Full) },
 	}, nil
 }
 
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -61,7 +61,8 @@
 	Mean       float64
 }
 
-// Held is a request that a router runs on a server, told to its new owner.
+// Held is a request that a router runs on a server, told to the server's new
+// owner.
 type Held struct {
 	Ask        admitter.Ask
 	DeadlineIn time.Duration
@@ -70,10 +71,14 @@
 // Settlement is what a router tells the owner of servers, in one message.
 type Settlement struct {
 	From     string
+	Held     []Held
 	Outcomes []admitter.Outcome
 	Canceled []Canceled
 }
 
+// size is the number of things told.
+func (s *Settlement) size() int { return len(s.Held) + len(s.Outcomes) + len(s.Canceled) }
+
 // Canceled is an ask that nobody waits for any more.
 type Canceled struct {
 	Server string
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"papayapaddle/internal/admitter"
 	"papayapaddle/internal/failer"
 	"papayapaddle/internal/linker"
 )
@@ -197,16 +196,17 @@
 	return reply.Config, err
 }
 
-// Settle tells the owner at an address what became of a request. It does not
+// Settle tells the owner at an address what became of requests. It does not
 // wait; what accumulates during a call goes out together in the next.
-func (m *Messenger) Settle(address, self string, o []admitter.Outcome, c []Canceled) {
+func (m *Messenger) Settle(address string, s Settlement) {
 	l := m.link(address)
 	l.tellMu.Lock()
 	defer l.tellMu.Unlock()
-	if len(l.waiting.Outcomes)+len(l.waiting.Canceled) < maxWaiting {
-		l.waiting.From = self
-		l.waiting.Outcomes = append(l.waiting.Outcomes, o...)
-		l.waiting.Canceled = append(l.waiting.Canceled, c...)
+	if l.waiting.size() < maxWaiting {
+		l.waiting.From = s.From
+		l.waiting.Held = append(l.waiting.Held, s.Held...)
+		l.waiting.Outcomes = append(l.waiting.Outcomes, s.Outcomes...)
+		l.waiting.Canceled = append(l.waiting.Canceled, s.Canceled...)
 	}
 	if !l.telling {
 		l.telling = true
@@ -221,14 +221,14 @@
 		l.tellMu.Lock()
 		s := l.waiting
 		l.waiting = Settlement{}
-		if len(s.Outcomes) == 0 && len(s.Canceled) == 0 {
+		if s.size() == 0 {
 			l.telling = false
 			l.tellMu.Unlock()
 			return
 		}
 		l.tellMu.Unlock()
 		if err := m.prompt(context.Background(), l.address, "Settle", &s, &Nothing{}); err != nil && m.Lost != nil {
-			m.Lost(l.address, len(s.Outcomes)+len(s.Canceled), err)
+			m.Lost(l.address, s.size(), err)
 		}
 	}
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -87,8 +87,6 @@
 	Server *cataloger.Server
 	// Began must be called at the first event of a stream.
 	Began func()
-	// Pace tells the mean time between two events of late.
-	Pace func(gap time.Duration)
 	// End must be called once.
 	End func(e End)
 }
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -21,8 +21,6 @@
 	// without an event a stream that can be resumed is taken up elsewhere.
 	silenceObjectives = 2
 	silenceGaps       = 2
-	// paceEvery is how often a stream's pace is told.
-	paceEvery = 500 * time.Millisecond
 	// minSilence is the least silence that says anything.
 	minSilence = time.Second
 )
@@ -156,7 +154,6 @@
 	br := bufio.NewReaderSize(a.Body, 4<<10)
 	var event []byte
 	began := false
-	pace := pacer{place: p}
 	for {
 		line, err := br.ReadSlice('\n')
 		event = append(event, line...)
@@ -183,7 +180,6 @@
 			began = true
 			p.Began()
 		}
-		pace.event(time.Now())
 		if l := f.pass(a, event); l != nil {
 			return l
 		}
@@ -196,25 +192,6 @@
 	}
 }
 
-// pacer tells a place how fast the events of a stream come.
-type pacer struct {
-	place  *Place
-	since  time.Time
-	events int
-}
-
-func (p *pacer) event(now time.Time) {
-	if p.since.IsZero() {
-		p.since = now
-		return
-	}
-	p.events++
-	if span := now.Sub(p.since); span >= paceEvery {
-		p.place.Pace(span / time.Duration(p.events))
-		p.since, p.events = now, 0
-	}
-}
-
 // finish ends a stream whose server ended it properly.
 func (f *flow) finish(a *sender.Answer) *lost {
 	x := f.x
