A router that cannot keep up turns work away before it reads it

Thousands of connections took its memory to the limit of 134 MB; it collected garbage and stood still for six seconds, and so noticed late that callers had left.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -64,7 +64,7 @@
 	keyMargin = 0.7
 	// memoryShare is the part of the memory limit at which the runtime collects
 	// garbage harder, bodyShare the part that bodies may take.
-	memoryShare = 0.6
+	memoryShare = 0.75
 	bodyShare   = 0.25
 	// gcPercent is how much garbage may come before it is collected: memory is
 	// dearer than processor time on these instances.
@@ -99,6 +99,7 @@
 	sender    *sender.Sender
 	relayer   *relayer.Relayer
 	meter     *meter
+	pressure  *pressure
 
 	peers     net.Listener
 	callers   *http.Server
@@ -149,7 +150,8 @@
 	rand.Read(b[:])
 	n := &node{
 		settings: s, recorder: rec, meter: newMeter(), balancer: &balancer.Balancer{Zone: s.AvailabilityZone},
-		done: make(chan struct{}),
+		pressure: newPressure(s.Limits),
+		done:     make(chan struct{}),
 		self: messenger.Peer{
 			Name: s.Name, Address: s.PeerAddress(), AvailabilityZone: s.AvailabilityZone,
 			// Milliseconds first, so that a later process has a larger incarnation.
@@ -222,6 +224,7 @@
 		Request: func(service string) { b.Request(time.Now(), service) },
 		Repeat:  func(service string) bool { return b.Repeat(time.Now(), service) },
 		Closing: n.closing,
+		Busy:    n.pressure.busy,
 		Buffer:  &relayer.Budget{Bytes: int64(float64(n.settings.Limits.MemoryMB<<20) * bodyShare)},
 		Log:     n.log, Observe: n.meter.observe,
 	}
--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -55,6 +55,9 @@
 	if err != nil {
 		return err
 	}
+	callers = &boundedListener{
+		Listener: callers, most: n.pressure.maxConnections, refused: func() { n.meter.count("caller-connections-refused") },
+	}
 	var ctx context.Context
 	ctx, n.cancel = context.WithCancel(context.Background())
 	n.peers = peers
@@ -66,6 +69,7 @@
 	go n.serve("ready", func() error { return n.ready.Serve(ready) })
 	go n.serve("operators", func() error { return n.operators.Serve(operators) })
 	go n.serve("callers", func() error { return n.callers.Serve(callers) })
+	go n.pressure.run(ctx)
 	go n.watcher.Run(ctx)
 	go n.allocator.Run(ctx)
 	go n.exchangeNews(ctx)
--- a/internal/conductor/meter.go
+++ b/internal/conductor/meter.go
@@ -92,8 +92,8 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.meter.write(w)
-		fmt.Fprintf(w, "active-requests %d\nbody-bytes %d\nrouters-reachable %d\n",
-			n.relayer.Active(), n.relayer.Buffer.Used(), len(n.roster.Reachable()))
+		fmt.Fprintf(w, "active-requests %d\nbody-bytes %d\nrouters-reachable %d\nlag-ms %d\n",
+			n.relayer.Active(), n.relayer.Buffer.Used(), len(n.roster.Reachable()), time.Duration(n.pressure.lag.Load()).Milliseconds())
 	})
 	r.HandleFunc("/state", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -137,6 +137,9 @@
 	// Closing says since when the router has been shutting down, and when it will
 	// end what is still open; zero if it is not.
 	Closing func() (began, end time.Time)
+	// Busy says why the router itself cannot take a request while so many are
+	// served, or nothing.
+	Busy func(work cataloger.Work, active int64) string
 	// Buffer reserves memory for a body; false means that there is none left.
 	Buffer *Budget
 	Log    func(event string, keyvals ...any)
@@ -348,6 +351,11 @@
 		x.refuse("shutting-down", retryUnproven)
 		return false
 	}
+	if why := x.Busy(x.call.Route.Work, x.active.Load()); why != "" {
+		// The next try reaches another router.
+		x.refuse(why, retryUnproven)
+		return false
+	}
 	return true
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -171,6 +171,7 @@
 	closing time.Duration
 	places  []string
 	refusal *Refusal
+	busy    string
 }
 
 var routes = []*cataloger.Route{
@@ -214,6 +215,7 @@
 			}
 			return time.Now().Add(-b.closing), time.Now().Add(7*time.Second - b.closing)
 		},
+		Busy:   func(cataloger.Work, int64) string { return b.busy },
 		Buffer: &Budget{Bytes: 1 << 20},
 		Log:    func(string, ...any) {},
 	}
@@ -350,6 +352,8 @@
 		if d.HasArg("none") {
 			b.catalog = nil
 		}
+	case "busy":
+		b.busy = "router-full"
 	case "repeats":
 		d.ScanArgs(t, "left", &b.repeats)
 	case "closing":
