--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -16,8 +16,9 @@
 	// turnAway is how long after a router stops being ready callers may still be
 	// sent to it: the balancer asks each second and acts on the second miss.
 	turnAway = 2500 * time.Millisecond
-	// exitMargin is kept free at the end of the grace.
-	exitMargin = 500 * time.Millisecond
+	// exitMargin is kept free at the end of the grace: a slow instance needs some of
+	// it to exit.
+	exitMargin = time.Second
 	// headerTimeout bounds how long a caller may take to send a header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout closes unused connections of callers. It is longer than any that
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -18,7 +18,7 @@
 const (
 	// minBackoff and maxBackoff bound the wait after a failed call.
 	minBackoff = 100 * time.Millisecond
-	maxBackoff = time.Second
+	maxBackoff = 400 * time.Millisecond
 	// returnWait is how long after the store's return entries may still be
 	// missing that lapsed while it was away.
 	returnWait = 2500 * time.Millisecond
