Fewer wake-ups: pauses end when something is due

Change: the watcher sleeps until its proof is due or a peer has more, the allocator ticks often only while something waits, lag is measured ten times a second, news are looked at twice a period; a configuration that cannot be read no longer makes the router ask without a pause.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	// tickEvery is the period of admitter.Tick.
+	// tickEvery is the period of admitter.Tick while something waits, and idleTick
+	// the one while nothing does.
 	tickEvery = 20 * time.Millisecond
+	idleTick  = 250 * time.Millisecond
 	// reportEvery is the period of log lines about the owned servers.
 	reportEvery = 2 * time.Second
 	// handOverEvery is how often the owners of held places are looked up again.
@@ -88,6 +90,9 @@
 	mu       sync.Mutex
 	Admitter admitter.Admitter
 	waiters  map[waiterKey]chan admitter.Decision
+	// ticking says that Run ticks often; wake makes it so.
+	ticking bool
+	wake    chan struct{}
 
 	// places are the granted ones that have not ended.
 	placesMu sync.Mutex
@@ -104,7 +109,7 @@
 
 // Run ticks until the context ends.
 func (a *Allocator) Run(ctx context.Context) {
-	t := time.NewTicker(tickEvery)
+	t := time.NewTimer(tickEvery)
 	defer t.Stop()
 	report := time.NewTicker(reportEvery)
 	defer report.Stop()
@@ -116,6 +121,9 @@
 			return
 		case <-t.C:
 			a.do(func(now time.Time, ad *admitter.Admitter) { ad.Tick(now) })
+			t.Reset(a.nextTick())
+		case <-a.wake:
+			t.Reset(tickEvery)
 		case <-handOver.C:
 			a.HandOver()
 		case <-report.C:
@@ -124,6 +132,17 @@
 	}
 }
 
+// nextTick returns when to tick again.
+func (a *Allocator) nextTick() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ticking = len(a.waiters) > 0
+	if a.ticking {
+		return tickEvery
+	}
+	return idleTick
+}
+
 // report logs what is believed of the servers that were asked for lately.
 func (a *Allocator) report() {
 	for _, s := range a.Dump() {
@@ -147,6 +166,19 @@
 			ch <- d
 		}
 	}
+	if len(a.waiters) > 0 && !a.ticking {
+		a.ticking = true
+		select {
+		case a.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// New returns an allocator that wakes up when something waits.
+func New(a *Allocator) *Allocator {
+	a.wake = make(chan struct{}, 1)
+	return a
 }
 
 // Acquire finds a place, waiting for one within the need's times.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -176,11 +176,11 @@
 }
 
 func newWatcher(n *node, s *platform.Store) *watcher.Watcher {
-	return &watcher.Watcher{
+	return watcher.New(&watcher.Watcher{
 		Operator: s.OperatorTable(), Servers: s.ServerTable(),
 		DecodeCatalog: platform.DecodeCatalog, DecodeServer: platform.DecodeServer,
 		ConfigKey: platform.ConfigKey, Now: timer.Boot, AskAfter: n.askAfter, Log: n.log,
-	}
+	})
 }
 
 func newMessenger() *messenger.Messenger {
@@ -188,7 +188,7 @@
 }
 
 func newAllocator(n *node, m *messenger.Messenger, w *watcher.Watcher) *allocator.Allocator {
-	return &allocator.Allocator{
+	return allocator.New(&allocator.Allocator{
 		Self: n.self, Roster: n.roster, Messenger: m, Log: n.log,
 		Admitter: admitter.Admitter{Fade: time.Duration(float64(n.settings.Bounds.ShareWindow()) * fadeShare)},
 		Servers: func(service string) []*cataloger.Server {
@@ -197,7 +197,7 @@
 			}
 			return nil
 		},
-	}
+	})
 }
 
 func newBudgeter(s platform.Settings) *budgeter.Budgeter {
--- a/internal/conductor/news.go
+++ b/internal/conductor/news.go
@@ -40,7 +40,7 @@
 // exchangeNews keeps the routers informed of each other until the context ends.
 func (n *node) exchangeNews(ctx context.Context) {
 	gone := map[string]bool{}
-	for pauser.Pause(ctx, newsPeriod/2) {
+	for pauser.Pause(ctx, n.period()/2) {
 		p := n.period()
 		n.roster.SetSilence(max(peerSilence, silentPeriods*p))
 		n.budgeter.Share(n.roster.Size())
--- a/internal/conductor/pressure.go
+++ b/internal/conductor/pressure.go
@@ -14,8 +14,8 @@
 const (
 	// lagStep is the period in which the router looks how late it wakes, and
 	// lagSmoothing the weight of the newest look.
-	lagStep      = 20 * time.Millisecond
-	lagSmoothing = 0.2
+	lagStep      = 100 * time.Millisecond
+	lagSmoothing = 0.5
 	// maxLag is the lateness above which the processor cannot keep up: a stream's
 	// events would wait that long at each step.
 	maxLag = 60 * time.Millisecond
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -27,6 +27,12 @@
 	awayAfter = 1500 * time.Millisecond
 )
 
+// New returns a watcher that peers can wake.
+func New(w *Watcher) *Watcher {
+	w.servers.wake = make(chan struct{}, 1)
+	return w
+}
+
 // Row is one row of a followed table.
 type Row struct {
 	Key     string
@@ -86,8 +92,10 @@
 	provenAt atomic.Int64
 	// changed is the store's version of the last change that was applied.
 	changed atomic.Uint64
-	// wanted is a version that a peer has and this router must read.
+	// wanted is a version that a peer has and this router must read; wake ends the
+	// pause then, if it is set.
 	wanted atomic.Uint64
+	wake   chan struct{}
 }
 
 // prove notes that the rows were the newest at a time.
@@ -171,6 +179,10 @@
 		w.servers.prove(at)
 	case changed > mine:
 		w.servers.wanted.Store(changed)
+		select {
+		case w.servers.wake <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -248,6 +260,9 @@
 		if err == nil {
 			if apply(b) {
 				f.prove(b.askedAt)
+			} else {
+				// What cannot be read now may be replaced soon.
+				pauser.Pause(ctx, maxBackoff)
 			}
 			if b.whole || len(b.rows) > 0 {
 				f.reach(next)
@@ -281,14 +296,27 @@
 	}
 }
 
-// pauseStep is how often a waiting feed looks whether it should ask.
-const pauseStep = 20 * time.Millisecond
+const (
+	// minPause and maxPause bound the wait between two looks at whether to ask.
+	minPause = 20 * time.Millisecond
+	maxPause = 250 * time.Millisecond
+)
 
 // pause waits until the proof is old or a peer has something newer.
 func (w *Watcher) pause(ctx context.Context, f *feed) {
-	for pauser.Pause(ctx, pauseStep) {
+	for {
 		age, ok := w.age(f)
-		if !ok || age >= w.AskAfter() || f.wanted.Load() > f.changed.Load() {
+		left := w.AskAfter() - age
+		if !ok || left <= 0 || f.wanted.Load() > f.changed.Load() {
+			return
+		}
+		t := time.NewTimer(min(max(left, minPause), maxPause))
+		select {
+		case <-t.C:
+		case <-f.wake:
+			t.Stop()
+		case <-ctx.Done():
+			t.Stop()
 			return
 		}
 	}
