--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -319,91 +317,6 @@
 	})
 }
 
-// Began tells the owner that the first event came.
-func (p *Place) Began() { p.tell(admitter.Outcome{First: true}) }
-
-// End tells the owner that the request ended.
-func (p *Place) End(failed bool) {
-	p.once.Do(func() {
-		p.a.placesMu.Lock()
-		delete(p.a.places, p.ask.ID)
-		p.a.placesMu.Unlock()
-		p.tell(admitter.Outcome{Done: true, Failed: failed})
-	})
-}
-
-func (p *Place) tell(o admitter.Outcome) {
-	o.Router, o.ID, o.Server = p.a.Self.Name, p.ask.ID, p.Server.ID
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.a.settle(p.owner, messenger.Settlement{Outcomes: []admitter.Outcome{o}})
-}
-
-// settle tells an owner, which may be this router.
-func (a *Allocator) settle(owner messenger.Peer, s messenger.Settlement) {
-	s.From = a.Self.Name
-	if owner.Name == a.Self.Name {
-		a.HandleSettle(&s)
-		return
-	}
-	a.Messenger.Settle(owner.Address, s)
-}
-
-// withdraw tells an owner that nobody waits for an ask.
-func (a *Allocator) withdraw(owner messenger.Peer, k *admitter.Ask) {
-	a.settle(owner, messenger.Settlement{Canceled: []messenger.Canceled{{Server: k.Engine.ID, ID: k.ID}}})
-}
-
-// hold notes a granted place.
-func (a *Allocator) hold(p *Place) *Place {
-	a.placesMu.Lock()
-	defer a.placesMu.Unlock()
-	if a.places == nil {
-		a.places = map[uint64]*Place{}
-	}
-	a.places[p.ask.ID] = p
-	return p
-}
-
-// HandOver tells new owners of servers which of their places this router's
-// requests hold, so that they do not hand an engine more than it can take.
-func (a *Allocator) HandOver() {
-	a.placesMu.Lock()
-	places := slices.Collect(maps.Values(a.places))
-	a.placesMu.Unlock()
-	owners := map[string]messenger.Peer{}
-	for _, p := range places {
-		id := p.Server.ID
-		o, ok := owners[id]
-		if !ok {
-			o = a.Self
-			if first := a.Roster.Owners(id, p.Server.AvailabilityZone, 1); len(first) > 0 {
-				o = first[0]
-			}
-			owners[id] = o
-		}
-		p.moveTo(o)
-	}
-}
-
-// moveTo tells a place to another owner. An owner that was replaced by a new
-// process knows nothing of it, so the incarnation counts too.
-func (p *Place) moveTo(o messenger.Peer) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.owner == o {
-		return
-	}
-	was := p.owner
-	p.owner = o
-	h := messenger.Held{Ask: *p.ask, DeadlineIn: time.Until(p.ask.Deadline)}
-	h.Ask.FirstBy, h.Ask.Deadline, h.Ask.Arrived = time.Time{}, time.Time{}, time.Time{}
-	p.a.settle(o, messenger.Settlement{Held: []messenger.Held{h}})
-	if was.Name != o.Name {
-		p.a.withdraw(was, p.ask)
-	}
-}
-
 // Loads returns the servers' loads as last heard.
 func (a *Allocator) Loads() map[string]steerer.Load {
 	a.loadsMu.RLock()
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -77,6 +77,16 @@
 	}
 }
 
+// pair adds two routers that hear each other and returns the engine's owner first.
+func (n *network) pair() (owner, other *router) {
+	a, b := n.add("a"), n.add("b")
+	n.meet()
+	if a.Roster.Owners("e", "z", 1)[0].Name == "b" {
+		return b, a
+	}
+	return a, b
+}
+
 func (n *network) close() {
 	synctest.Wait()
 	for _, r := range n.routers {
@@ -109,12 +119,7 @@
 		c := qt.New(t)
 		n := &network{routers: map[string]*router{}, cut: map[string]bool{}}
 		defer n.close()
-		a, b := n.add("a"), n.add("b")
-		n.meet()
-		owner, other := a, b
-		if a.Roster.Owners("e", "z", 1)[0].Name == "b" {
-			owner, other = b, a
-		}
+		owner, other := n.pair()
 		var places []*Place
 		for range 4 {
 			p, refusal := other.Acquire(context.Background(), need())
@@ -148,12 +153,7 @@
 		c := qt.New(t)
 		n := &network{routers: map[string]*router{}, cut: map[string]bool{}}
 		defer n.close()
-		a, b := n.add("a"), n.add("b")
-		n.meet()
-		owner, other := a, b
-		if a.Roster.Owners("e", "z", 1)[0].Name == "b" {
-			owner, other = b, a
-		}
+		owner, other := n.pair()
 		n.cut[owner.Self.Name] = true
 		p, refusal := other.Acquire(context.Background(), need())
 		c.Assert(refusal, qt.IsNil)
@@ -170,12 +170,7 @@
 		c := qt.New(t)
 		n := &network{routers: map[string]*router{}, cut: map[string]bool{}}
 		defer n.close()
-		a, b := n.add("a"), n.add("b")
-		n.meet()
-		owner, other := a, b
-		if a.Roster.Owners("e", "z", 1)[0].Name == "b" {
-			owner, other = b, a
-		}
+		owner, other := n.pair()
 		long := need()
 		long.Prompt = 20_000
 		long.Parts = admitter.Chain("m", []string{"long"}, []int{20_000})
