--- /dev/null
+++ b/internal/messenger/benchmark_test.go
@@ -0,0 +1,53 @@
+package messenger
+
+import (
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"papayapaddle/internal/admitter"
+)
+
+// counter counts the bytes written to it.
+type counter struct{ n int }
+
+func (c *counter) Write(p []byte) (int, error) {
+	c.n += len(p)
+	return len(p), nil
+}
+
+// BenchmarkNews gives the bytes and the time of one news on an open connection.
+func BenchmarkNews(b *testing.B) {
+	for _, workspaces := range []int{16, 30} {
+		b.Run(fmt.Sprint(workspaces), func(b *testing.B) {
+			n := News{
+				From: Peer{Name: "edge-graz-a-12", Address: "10.1.0.36:7400", AvailabilityZone: "graz-a", Incarnation: 1 << 56}, Version: 19,
+				ProvenAgo: 300 * time.Millisecond, ServersChanged: 4000, ServersAgo: 300 * time.Millisecond, Contact: time.Minute,
+				Granted: map[string]float64{},
+			}
+			for i := range 3 {
+				n.Loads = append(n.Loads, admitter.Load{Server: fmt.Sprintf("i-%010d", i), Wait: 123456789})
+			}
+			for i := range workspaces {
+				n.Granted[fmt.Sprintf("name%04d", i)] = 12345.678 * float64(i+1)
+			}
+			for range 8 {
+				n.Known = append(n.Known, n.From)
+			}
+			c := &counter{}
+			e := gob.NewEncoder(c)
+			if err := e.Encode(n); err != nil {
+				b.Fatal(err)
+			}
+			c.n = 0
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := e.Encode(n); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(c.n)/float64(b.N), "bytes/news")
+		})
+	}
+}
