Wire names of the whole-path tests move to the stand-ins

Cause: conductor_test.go spoke the platform's names; the comment on the queue's order was old. Change: standin.Call makes a caller's request; the admitter's package comment names the order.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -4,9 +4,11 @@
 // Engines admit in order of arrival and know no urgency, so a queue inside an
 // engine makes everything in it late. The owner of a server therefore hands
 // over only what the engine is about to read, and keeps the rest in its own
-// order: first the workspaces that were granted least lately across the fleet,
-// inside a workspace what is wanted soonest. What cannot begin in time any more
-// is refused at once.
+// order: requests that can still be in time before those whose callers were
+// refused and are back; then the workspaces that were granted least lately across
+// the fleet; then what needs least reading; then what is wanted soonest. What
+// cannot begin in time any more is refused at once. docs/DESIGN.md has the load
+// that each rule answers, and the figures behind the constants.
 //
 // The package does no I/O and reads no clock.
 package admitter
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -79,38 +79,15 @@
 	})
 }
 
-type reply struct {
-	status int
-	body   string
-	stamp  string
-	retry  string
-}
-
-func (f *fleet) call(router, path, key, tokens string) reply {
+func (f *fleet) call(router, path, key, tokens string) standin.Reply {
 	f.ids++
 	return f.do(router, path, key, tokens, fmt.Sprintf("id-%d", f.ids))
 }
 
-func (f *fleet) do(router, path, key, tokens, id string) reply {
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.at[router].Listen.Callers+path, strings.NewReader("body"))
-	f.c.Assert(err, qt.IsNil)
-	req.Host = standin.Host
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Api-Key", key)
-	req.Header.Set("Deadline-Ms", "15000")
-	req.Header.Set("Tenant", "forged")
-	if tokens != "" {
-		req.Header.Set("Token-Usage", tokens)
-		req.Header.Set("Prompt-Prefix", "aa:50,"+id+":50")
-	}
-	resp, err := http.DefaultClient.Do(req)
-	f.c.Assert(err, qt.IsNil)
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
+func (f *fleet) do(router, path, key, tokens, id string) standin.Reply {
+	r, err := standin.Call{Router: f.at[router].Listen.Callers, Path: path, ID: id, Key: key, Tokens: tokens, Part: "aa"}.Do()
 	f.c.Assert(err, qt.IsNil)
-	return reply{
-		status: resp.StatusCode, body: string(b), stamp: resp.Header.Get("Server-Stamp"), retry: resp.Header.Get("Retry-After"),
-	}
+	return r
 }
 
 func TestWholePath(t *testing.T) {
@@ -118,14 +95,14 @@
 	f := newFleet(c, "a", "b")
 	for _, router := range []string{"a", "b"} {
 		r := f.call(router, standin.PlainPrefix+"x", standin.Key, "")
-		c.Assert(r.status, qt.Equals, http.StatusOK)
-		c.Assert(r.body, qt.Equals, "POST /booking/x 4 bytes\n")
-		c.Assert(r.stamp, qt.Matches, `booking-\d\.id-\d+`)
+		c.Assert(r.Status, qt.Equals, http.StatusOK)
+		c.Assert(r.Body, qt.Equals, "POST /booking/x 4 bytes\n")
+		c.Assert(r.Stamp, qt.Matches, `booking-\d\.id-\d+`)
 		r = f.call(router, standin.ModelPrefix+"y", standin.Key, "100,30")
-		c.Assert(r.status, qt.Equals, http.StatusOK)
-		c.Assert(strings.Count(r.body, "data: "), qt.Equals, 3)
-		c.Assert(f.call(router, standin.PlainPrefix+"x", "wrong", "").status, qt.Equals, http.StatusUnauthorized)
-		c.Assert(f.call(router, "/other/", standin.Key, "").status, qt.Equals, http.StatusNotFound)
+		c.Assert(r.Status, qt.Equals, http.StatusOK)
+		c.Assert(strings.Count(r.Body, "data: "), qt.Equals, 3)
+		c.Assert(f.call(router, standin.PlainPrefix+"x", "wrong", "").Status, qt.Equals, http.StatusUnauthorized)
+		c.Assert(f.call(router, "/other/", standin.Key, "").Status, qt.Equals, http.StatusNotFound)
 	}
 	for _, s := range append(f.site.Models, f.site.Plain...) {
 		for id, n := range s.Runs() {
@@ -146,9 +123,9 @@
 	var calls []string
 	eventually(c, "the routers' entries are read", func() bool {
 		calls = f.site.Store.Calls()
-		return slices.Contains(calls, "/api/rows-get papayapaddle-routers")
+		return slices.Contains(calls, standin.CallReadRouters)
 	})
-	write, read := slices.Index(calls, "/api/rows-tx"), slices.Index(calls, "/api/rows-get papayapaddle-routers")
+	write, read := slices.Index(calls, standin.CallWrite), slices.Index(calls, standin.CallReadRouters)
 	c.Assert(write >= 0 && write < read, qt.IsTrue, qt.Commentf("%v", calls))
 }
 
@@ -158,7 +135,7 @@
 	c := qt.New(t)
 	f := newFleet(c, "a", "b")
 	for i := range 10 {
-		c.Assert(f.call([]string{"a", "b"}[i%2], standin.ModelPrefix+"y", standin.Key, "100,10").status, qt.Equals, http.StatusOK)
+		c.Assert(f.call([]string{"a", "b"}[i%2], standin.ModelPrefix+"y", standin.Key, "100,10").Status, qt.Equals, http.StatusOK)
 	}
 	used := 0
 	for _, s := range f.site.Models {
@@ -175,9 +152,9 @@
 	f.site.Configure("another")
 	for _, router := range []string{"a", "b"} {
 		eventually(c, "the old key is refused", func() bool {
-			return f.call(router, standin.PlainPrefix+"x", standin.Key, "").status == http.StatusUnauthorized
+			return f.call(router, standin.PlainPrefix+"x", standin.Key, "").Status == http.StatusUnauthorized
 		})
-		c.Assert(f.call(router, standin.PlainPrefix+"x", "another", "").status, qt.Equals, http.StatusOK)
+		c.Assert(f.call(router, standin.PlainPrefix+"x", "another", "").Status, qt.Equals, http.StatusOK)
 	}
 }
 
@@ -189,12 +166,12 @@
 	f.site.Store.SetDown(true)
 	eventually(c, "keys are refused", func() bool {
 		r := f.call("a", standin.PlainPrefix+"x", standin.Key, "")
-		return r.status == http.StatusServiceUnavailable && r.retry != ""
+		return r.Status == http.StatusServiceUnavailable && r.RetryAfter != ""
 	})
 	f.site.Store.Compact()
 	f.site.Store.SetDown(false)
 	eventually(c, "keys are accepted", func() bool {
-		return f.call("a", standin.PlainPrefix+"x", standin.Key, "").status == http.StatusOK
+		return f.call("a", standin.PlainPrefix+"x", standin.Key, "").Status == http.StatusOK
 	})
 }
 
@@ -208,7 +185,7 @@
 	}
 	before := len(f.site.Plain[0].Runs())
 	for i := range 10 {
-		c.Assert(f.call([]string{"a", "b"}[i%2], standin.PlainPrefix+"x", standin.Key, "").status, qt.Equals, http.StatusOK)
+		c.Assert(f.call([]string{"a", "b"}[i%2], standin.PlainPrefix+"x", standin.Key, "").Status, qt.Equals, http.StatusOK)
 	}
 	c.Assert(len(f.site.Plain[0].Runs()), qt.Equals, before)
 }
@@ -221,7 +198,7 @@
 	f.routers["b"].node.kill()
 	eventually(c, "all servers are granted by the other router", func() bool {
 		for i := range 6 {
-			if f.do("a", standin.ModelPrefix+"y", standin.Key, "100,10", fmt.Sprintf("k%d-%d", f.ids, i)).status != http.StatusOK {
+			if f.do("a", standin.ModelPrefix+"y", standin.Key, "100,10", fmt.Sprintf("k%d-%d", f.ids, i)).Status != http.StatusOK {
 				return false
 			}
 		}
@@ -237,11 +214,11 @@
 	for _, s := range f.site.Models {
 		s.Gap = 100 * time.Millisecond
 	}
-	got := make(chan reply, 1)
+	got := make(chan standin.Reply, 1)
 	go func() { got <- f.call("a", standin.ModelPrefix+"y", standin.Key, "100,100") }()
 	eventually(c, "the stream runs", func() bool { return f.routers["a"].node.relayer.Active() > 0 })
 	c.Assert(f.routers["a"].Stop(context.Background()), qt.IsNil)
 	r := <-got
-	c.Assert(r.status, qt.Equals, http.StatusOK)
-	c.Assert(strings.Count(r.body, "data: "), qt.Equals, 10)
+	c.Assert(r.Status, qt.Equals, http.StatusOK)
+	c.Assert(strings.Count(r.Body, "data: "), qt.Equals, 10)
 }
