--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/internal/pauser"
 )
 
 // stuck is an output that nobody reads until it is released.
@@ -41,7 +43,7 @@
 				c.Assert(err, qt.IsNil)
 				c.Assert(n, qt.Equals, len(line))
 			}
-			time.Sleep(flushEvery)
+			pauser.Pause(t.Context(), flushEvery)
 		}
 		c.Assert(time.Since(began), qt.Equals, 10*flushEvery, qt.Commentf("writing took no time"))
 		close(out.release)
