--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -211,7 +211,7 @@
 		}
 		a.schedule(now, e)
 	}
-	delete(a.usage.peers, router)
+	a.usage.forget(now, router)
 }
 
 // Remove drops a server that is gone.
@@ -321,18 +321,22 @@
 	return out
 }
 
-// Granted returns what this router granted each workspace lately, in tokens.
-func (a *Admitter) Granted(now time.Time) map[string]float64 {
+// Granted returns what this router granted workspaces lately, in tokens, after
+// the grant of a number, and the number of the last one.
+func (a *Admitter) Granted(now time.Time, after uint64) (map[string]uint, uint64) {
 	a.usage.fade = a.Fade
-	return a.usage.granted(now)
+	return a.usage.since(now, after)
 }
 
-// Heard takes in what a peer granted each workspace lately.
-func (a *Admitter) Heard(now time.Time, peer string, grants map[string]float64) {
+// Heard takes in what a peer granted workspaces lately, up to a number.
+func (a *Admitter) Heard(now time.Time, peer string, grants map[string]uint, till uint64) {
 	a.usage.fade = a.Fade
-	a.usage.set(now, peer, grants)
+	a.usage.hear(now, peer, grants, till)
 }
 
+// Seen returns up to which number a peer's grants are known.
+func (a *Admitter) Seen(peer string) uint64 { return a.usage.seen(peer) }
+
 // Load is how long a new request would wait at a server.
 type Load struct {
 	Server string
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -103,11 +103,11 @@
 	case "forget":
 		b.a.Forget(b.now, router)
 	case "heard":
-		var tokens float64
+		var tokens int
 		var workspace string
 		d.ScanArgs(t, "workspace", &workspace)
 		d.ScanArgs(t, "tokens", &tokens)
-		b.a.Heard(b.now, "peer", map[string]float64{workspace: tokens})
+		b.a.Heard(b.now, "peer", map[string]uint{workspace: uint(tokens)}, b.a.Seen("peer")+1)
 	case "advance":
 		var ms int
 		d.ScanArgs(t, "ms", &ms)
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -324,24 +324,31 @@
 	return a.loads
 }
 
-// Tell returns what this router tells its peers of the servers it owns.
-func (a *Allocator) Tell() ([]admitter.Load, map[string]float64) {
+// Tell returns what this router tells a peer of the servers it owns: their loads
+// and what the peer, who has its grants up to a number, lacks of them. Seen is
+// what this router has of the peer's.
+func (a *Allocator) Tell(peer string, has uint64) (loads []admitter.Load, grants messenger.Grants, seen uint64) {
 	a.mu.Lock()
 	now := time.Now()
-	loads, granted := a.Admitter.Loads(now), a.Admitter.Granted(now)
+	loads = a.Admitter.Loads(now)
+	grants.Tokens, grants.Till = a.Admitter.Granted(now, has)
+	seen = a.Admitter.Seen(peer)
 	a.mu.Unlock()
 	a.merge(loads)
-	return loads, granted
+	return loads, grants, seen
 }
 
 // Hear takes in what a peer tells of the servers it owns.
-func (a *Allocator) Hear(peer string, loads []admitter.Load, granted map[string]float64) {
-	a.do(func(now time.Time, ad *admitter.Admitter) { ad.Heard(now, peer, granted) })
+func (a *Allocator) Hear(peer string, loads []admitter.Load, g messenger.Grants) {
+	a.do(func(now time.Time, ad *admitter.Admitter) { ad.Heard(now, peer, g.Tokens, g.Till) })
 	a.merge(loads)
 }
 
 // merge replaces the map of loads, so that readers need no lock for long.
 func (a *Allocator) merge(loads []admitter.Load) {
+	if len(loads) == 0 {
+		return
+	}
 	a.loadsMu.Lock()
 	defer a.loadsMu.Unlock()
 	m := make(map[string]steerer.Load, len(a.loads)+len(loads))
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -109,8 +109,10 @@
 	done      chan struct{}
 	// closingAt is when the shutdown began, nil before.
 	closingAt atomic.Pointer[time.Time]
-	// asking says that a peer is being asked for a fresher proof.
-	asking atomic.Bool
+	// asking says that a peer is being asked for a fresher proof, and fetching that
+	// it is for servers' entries.
+	asking   atomic.Bool
+	fetching atomic.Bool
 }
 
 // New assembles a router that logs to out; nothing runs before Start.
@@ -241,6 +243,7 @@
 	}
 	m.Handlers = messenger.Handlers{
 		News: n.onNews, Ask: a.HandleAsk, Settle: a.HandleSettle, Fetch: w.Raw,
+		Servers: n.onServersAsked,
 	}
 }
 
--- a/internal/conductor/news.go
+++ b/internal/conductor/news.go
@@ -8,12 +8,14 @@
 	"papayapaddle/internal/messenger"
 	"papayapaddle/internal/pauser"
 	"papayapaddle/internal/timer"
+	"papayapaddle/internal/watcher"
 	"papayapaddle/platform"
 )
 
 const (
-	// maxKnown is the number of routers that news tell of.
-	maxKnown = 8
+	// maxKnown is the number of routers that news tell of. Each router exchanges
+	// news many times a second, so that all learn of a new one within a second.
+	maxKnown = 2
 	// listFirst is the time until the routers' entries are read again, which doubles
 	// up to listMost: a router makes itself known to all that it reads of.
 	listFirst = time.Second
@@ -64,7 +66,7 @@
 // from when the question was sent.
 func (n *node) askNews(ctx context.Context, peer messenger.Peer) {
 	askedAt := timer.Boot()
-	news := n.news()
+	news := n.news(peer.Name)
 	reply, err := n.messenger.News(ctx, peer.Address, &news)
 	if err != nil {
 		if ctx.Err() == nil && n.roster.IsReachable(peer.Name) {
@@ -76,11 +78,49 @@
 	if reply.ProvenAgo >= 0 {
 		n.watcher.Prove(reply.Version, askedAt-reply.ProvenAgo)
 	}
-	if reply.ServersAgo >= 0 {
-		n.watcher.ProveServers(reply.ServersChanged, askedAt-reply.ServersAgo)
+	if reply.ServersAgo >= 0 && n.watcher.ProveServers(reply.ServersChanged, askedAt-reply.ServersAgo) {
+		n.fetchServers(ctx, peer, reply.ServersChanged)
 	}
 }
 
+// fetchServers reads the servers' entries that a peer has and this router lacks,
+// so that a change costs the store few calls and not one of each router.
+func (n *node) fetchServers(ctx context.Context, peer messenger.Peer, changed uint64) {
+	if !n.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer n.fetching.Store(false)
+	mine, _, _ := n.watcher.ServersAge()
+	askedAt := timer.Boot()
+	reply, err := n.messenger.Servers(ctx, peer.Address, mine)
+	if err != nil {
+		n.log("servers-fetch-failed", "peer", peer.Name, "changed", changed, "err", err)
+		n.watcher.WantServers(changed)
+		return
+	}
+	rows := make([]watcher.Row, len(reply.Rows))
+	for i, r := range reply.Rows {
+		rows[i] = watcher.Row{Key: r.ID, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
+	}
+	n.watcher.TakeServerRows(rows, reply.Whole, reply.Changed, askedAt-reply.Ago, reply.Ago >= 0)
+}
+
+// onServersAsked answers a peer that lacks entries.
+func (n *node) onServersAsked(after uint64) messenger.ServersReply {
+	// The version comes first: rows that arrive meanwhile do no harm, and ones that
+	// are missing would.
+	changed, ago, proven := n.watcher.ServersAge()
+	if !proven {
+		ago = -1
+	}
+	rows, whole := n.watcher.ServerRows(after)
+	out := messenger.ServersReply{Whole: whole, Changed: changed, Ago: ago, Rows: make([]messenger.ServerRow, len(rows))}
+	for i, r := range rows {
+		out.Rows[i] = messenger.ServerRow{ID: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
+	}
+	return out
+}
+
 // onNews answers a peer's news. What a peer says unasked may have been long on
 // its way, so it proves nothing; if it claims a much fresher proof, it is asked.
 func (n *node) onNews(in *messenger.News) messenger.News {
@@ -95,37 +135,32 @@
 			n.askNews(context.Background(), in.From)
 		}()
 	}
-	return n.news()
+	return n.news(in.From.Name)
 }
 
 // askAfter returns the age of a proof from which this router asks the store. The
 // routers' order by name decides who asks first.
 func (n *node) askAfter() time.Duration {
-	rank := 0
-	for _, p := range n.roster.Reachable() {
-		if p.Name < n.self.Name {
-			rank++
-		}
-	}
-	return min(askFirst+time.Duration(rank)*askStep, askMost)
+	return min(askFirst+time.Duration(n.rank())*askStep, askMost)
 }
 
-func (n *node) news() messenger.News {
-	loads, granted := n.allocator.Tell()
+// news returns what the peer is told.
+func (n *node) news(peer string) messenger.News {
+	loads, grants, seen := n.allocator.Tell(peer, n.roster.Told(peer))
 	changed, serversAge, proven := n.watcher.ServersAge()
 	if !proven {
 		serversAge = -1
 	}
 	out := messenger.News{
 		ServersChanged: changed, ServersAgo: serversAge,
-		From: n.self, Leaving: n.isClosing(), ProvenAgo: -1, Loads: loads, Granted: granted,
+		From: n.self, Leaving: n.isClosing(), ProvenAgo: -1, Loads: loads, Grants: grants, GrantsSeen: seen,
 		Known: sample(n.roster.Reachable(), maxKnown), Contact: n.watcher.Contact(),
 	}
-	if c := n.watcher.Catalog(); c != nil {
-		out.Version = c.Version
-		if age, ok := n.watcher.Age(); ok {
-			out.ProvenAgo = age
-		}
+	// The version comes after the age: what an older proof says of a version holds
+	// for a newer one, and not the other way round.
+	age, ok := n.watcher.Age()
+	if out.Version = n.watcher.Version(); ok {
+		out.ProvenAgo = age
 	}
 	return out
 }
@@ -136,8 +171,11 @@
 	if len(peers) <= n {
 		return peers
 	}
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:n]
+	out := make([]messenger.Peer, n)
+	for i, k := range rand.Perm(len(peers))[:n] {
+		out[i] = peers[k]
+	}
+	return out
 }
 
 // heard takes a peer's news in.
@@ -150,20 +188,17 @@
 		n.log("router-heard", "peer", in.From.Name, "address", in.From.Address, "zone", in.From.AvailabilityZone, "replaced", replaced)
 	}
 	n.roster.Add(in.Known...)
-	n.allocator.Hear(in.From.Name, in.Loads, in.Granted)
+	n.allocator.Hear(in.From.Name, in.Loads, in.Grants)
+	n.roster.Tells(in.From.Name, in.GrantsSeen)
 	n.watcher.PeerContact(in.From.Name, in.Contact)
-	c := n.watcher.Catalog()
-	if c == nil && in.Version > 0 || c != nil && in.Version > c.Version {
+	if in.Version > n.watcher.Version() {
 		go n.fetch(in.From, in.Version)
 	}
 }
 
 // fetch installs a newer configuration that a peer has.
 func (n *node) fetch(from messenger.Peer, version uint64) {
-	after := uint64(0)
-	if c := n.watcher.Catalog(); c != nil {
-		after = c.Version
-	}
+	after := n.watcher.Version()
 	if after >= version {
 		return
 	}
@@ -186,14 +221,29 @@
 		})
 	})
 	// A write whose answer was late may come after another router's read, so the
-	// list is read again soon, and then ever more rarely.
+	// list is read again soon, and then ever more rarely. One of the routers that
+	// hear each other is enough for that; those that do not have one each.
 	for wait := listFirst; err == nil; wait = min(2*wait, listMost) {
-		if err = n.retry(ctx, func() error { return n.list(ctx) }); err != nil || !pauser.Pause(ctx, wait) {
+		if wait == listFirst || n.rank() == 0 {
+			err = n.retry(ctx, func() error { return n.list(ctx) })
+		}
+		if err != nil || !pauser.Pause(ctx, wait) {
 			return
 		}
 	}
 }
 
+// rank is this router's place, by name, among those that it hears.
+func (n *node) rank() int {
+	rank := 0
+	for _, p := range n.roster.Reachable() {
+		if p.Name < n.self.Name {
+			rank++
+		}
+	}
+	return rank
+}
+
 // retry calls f until it works or the context ends.
 func (n *node) retry(ctx context.Context, f func() error) error {
 	for {
--- a/internal/messenger/benchmark_test.go
+++ b/internal/messenger/benchmark_test.go
@@ -19,20 +19,20 @@
 
 // BenchmarkNews gives the bytes and the time of one news on an open connection.
 func BenchmarkNews(b *testing.B) {
-	for _, workspaces := range []int{16, 30} {
+	for _, workspaces := range []int{4, 8, 30} {
 		b.Run(fmt.Sprint(workspaces), func(b *testing.B) {
 			n := News{
 				From: Peer{Name: "edge-graz-a-12", Address: "10.1.0.36:7400", AvailabilityZone: "graz-a", Incarnation: 1 << 56}, Version: 19,
 				ProvenAgo: 300 * time.Millisecond, ServersChanged: 4000, ServersAgo: 300 * time.Millisecond, Contact: time.Minute,
-				Granted: map[string]float64{},
+				Grants: Grants{Tokens: map[string]uint{}, Till: 12345}, GrantsSeen: 12345,
 			}
 			for i := range 3 {
 				n.Loads = append(n.Loads, admitter.Load{Server: fmt.Sprintf("i-%010d", i), Wait: 123456789})
 			}
 			for i := range workspaces {
-				n.Granted[fmt.Sprintf("name%04d", i)] = 12345.678 * float64(i+1)
+				n.Tokens[fmt.Sprintf("name%04d", i)] = 12345 * uint(i+1)
 			}
-			for range 8 {
+			for range 2 {
 				n.Known = append(n.Known, n.From)
 			}
 			c := &counter{}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -34,12 +34,21 @@
 	Contact time.Duration
 	// Loads are the servers that the router owns.
 	Loads []admitter.Load
-	// Granted is what the router granted each workspace lately, in tokens.
-	Granted map[string]float64
-	// Known are the routers that it heard of lately.
+	Grants
+	// GrantsSeen is the Till of the receiver's grants that the sender has.
+	GrantsSeen uint64
+	// Known are some of the routers that it heard of lately.
 	Known []Peer
 }
 
+// Grants is what a router granted workspaces lately, in tokens, as far as the
+// receiver does not know it.
+type Grants struct {
+	Tokens map[string]uint
+	// Till numbers the last grant that is in it.
+	Till uint64
+}
+
 // AskArgs carries an ask to the owner of its server. Times are spans, as clocks
 // differ.
 type AskArgs struct {
@@ -92,5 +101,27 @@
 // none that is newer.
 type FetchReply struct{ Config []byte }
 
+// ServersArgs asks for the backend servers' entries that changed after a version
+// of the store.
+type ServersArgs struct{ After uint64 }
+
+// ServersReply holds these entries, or all if Whole is set.
+type ServersReply struct {
+	Rows  []ServerRow
+	Whole bool
+	// Changed is the version of the last change that the peer knows, and Ago how
+	// long ago that was provably the newest; negative if it never was.
+	Changed uint64
+	Ago     time.Duration
+}
+
+// ServerRow is one entry as the platform stores it.
+type ServerRow struct {
+	ID      string
+	Value   []byte
+	Version uint64
+	Deleted bool
+}
+
 // Nothing is the reply to a message that needs none.
 type Nothing struct{}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -48,6 +48,8 @@
 	Ask    func(*AskArgs) AskReply
 	Settle func(*Settlement)
 	Fetch  func(after uint64) []byte
+	// Servers returns the backend servers' entries that changed after a version.
+	Servers func(after uint64) ServersReply
 }
 
 // Messenger holds the links to peers. Dial and Handlers must be set.
@@ -196,6 +198,16 @@
 	return reply.Config, err
 }
 
+// Servers asks a peer for the backend servers' entries that changed after a
+// version of the store.
+func (m *Messenger) Servers(ctx context.Context, address string, after uint64) (*ServersReply, error) {
+	var reply ServersReply
+	if err := m.prompt(ctx, address, "Servers", &ServersArgs{After: after}, &reply); err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
+
 // Settle tells the owner at an address what became of requests. It does not
 // wait; what accumulates during a call goes out together in the next.
 func (m *Messenger) Settle(address string, s Settlement) {
@@ -299,3 +311,9 @@
 	out.Config = s.h.Fetch(in.After)
 	return nil
 }
+
+// Servers returns the backend servers' entries.
+func (s *service) Servers(in *ServersArgs, out *ServersReply) error {
+	*out = s.h.Servers(in.After)
+	return nil
+}
--- a/internal/messenger/roster.go
+++ b/internal/messenger/roster.go
@@ -22,8 +22,24 @@
 	now   func() time.Duration
 	// stopping says that this router owns nothing any more.
 	stopping bool
+	// view is what requests see; it is made anew after changes and viewPeriod.
+	view   *view
+	viewAt time.Duration
 }
 
+// view is the reachable routers at a moment. It is not changed.
+type view struct {
+	// peers are the reachable routers, this one included, by name.
+	peers  []Peer
+	byName map[string]Peer
+	// owners are those that may own servers.
+	owners []placer.Router
+}
+
+// viewPeriod bounds the age of a view: silence is judged in hundreds of
+// milliseconds, and a view takes a look at every router.
+const viewPeriod = 20 * time.Millisecond
+
 type member struct {
 	Peer
 	heardAt time.Duration
@@ -33,6 +49,8 @@
 	triedAt time.Duration
 	// addedAt is when it was first heard of.
 	addedAt time.Duration
+	// told is up to which number it has this router's grants.
+	told uint64
 }
 
 // forgetAfter is how long a router that is never heard stays on the roster.
@@ -61,6 +79,7 @@
 			continue
 		}
 		r.peers[p.Name] = &member{Peer: p, addedAt: r.now()}
+		r.view = nil
 		added = append(added, p)
 	}
 	return added
@@ -84,17 +103,40 @@
 		r.peers[p.Name] = m
 	}
 	regained = !r.reachable(m)
+	if regained || m.Peer != p || m.leaving != leaving {
+		r.view = nil
+	}
 	m.Peer = p
 	m.heard, m.heardAt, m.leaving = true, r.now(), leaving
 	return replaced, regained
 }
 
+// Tells notes up to which number a router has this one's grants.
+func (r *Roster) Tells(name string, number uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.peers[name]; m != nil {
+		m.told = number
+	}
+}
+
+// Told returns up to which number a router has this one's grants.
+func (r *Roster) Told(name string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.peers[name]; m != nil {
+		return m.told
+	}
+	return 0
+}
+
 // Lost notes that a router could not be reached.
 func (r *Roster) Lost(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if m := r.peers[name]; m != nil && m.heard {
 		m.heardAt = min(m.heardAt, r.now()-r.Silence)
+		r.view = nil
 	}
 }
 
@@ -138,18 +180,34 @@
 	return out
 }
 
-// Reachable returns the routers that were heard lately, this one included.
-func (r *Roster) Reachable() []Peer {
+// Reachable returns the routers that were heard lately, this one included, by
+// name. The caller must not change the list.
+func (r *Roster) Reachable() []Peer { return r.look().peers }
+
+// look returns the present view.
+func (r *Roster) look() *view {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := []Peer{r.Self}
+	now := r.now()
+	if r.view != nil && now-r.viewAt < viewPeriod {
+		return r.view
+	}
+	v := &view{peers: []Peer{r.Self}, byName: map[string]Peer{r.Self.Name: r.Self}}
 	for _, m := range r.peers {
-		if r.reachable(m) {
-			out = append(out, m.Peer)
+		if m.heard && now-m.heardAt < r.Silence {
+			v.peers = append(v.peers, m.Peer)
+			v.byName[m.Name] = m.Peer
 		}
 	}
-	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
-	return out
+	slices.SortFunc(v.peers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+	for _, p := range v.peers {
+		if p.Name == r.Self.Name && r.stopping || p.Name != r.Self.Name && r.peers[p.Name].leaving {
+			continue
+		}
+		v.owners = append(v.owners, placer.Router{Name: p.Name, AvailabilityZone: p.AvailabilityZone})
+	}
+	r.view, r.viewAt = v, now
+	return v
 }
 
 // Size returns the number of routers on the roster, this one included.
@@ -164,6 +222,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stopping = true
+	r.view = nil
 }
 
 // Unheard returns the names of routers that were heard once and are not now.
@@ -183,23 +242,11 @@
 // Every router that is asked decides, so two of them can at worst hand one
 // server too much for a moment.
 func (r *Roster) Owners(server, zone string, n int) []Peer {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var routers []placer.Router
-	byName := map[string]Peer{r.Self.Name: r.Self}
-	if !r.stopping {
-		routers = append(routers, placer.Router{Name: r.Self.Name, AvailabilityZone: r.Self.AvailabilityZone})
-	}
-	for _, m := range r.peers {
-		if r.reachable(m) && !m.leaving {
-			routers = append(routers, placer.Router{Name: m.Name, AvailabilityZone: m.AvailabilityZone})
-			byName[m.Name] = m.Peer
-		}
-	}
-	ranked := placer.Rank(routers, "server/"+server, zone)
+	v := r.look()
+	ranked := placer.Rank(v.owners, "server/"+server, zone)
 	out := make([]Peer, 0, n)
 	for _, name := range ranked[:min(n, len(ranked))] {
-		out = append(out, byName[name])
+		out = append(out, v.byName[name])
 	}
 	return out
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -4,7 +4,8 @@
 package placer
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -40,22 +41,25 @@
 
 // Rank returns the names of all routers, the best place for the key first.
 func Rank(routers []Router, key, zone string) []string {
+	type scored struct {
+		name  string
+		score uint64
+		far   int
+	}
 	h := xxhash.Sum64String(key)
-	ranked := append([]Router(nil), routers...)
-	sort.Slice(ranked, func(i, j int) bool {
-		a, b := ranked[i], ranked[j]
-		if zone != "" && (a.AvailabilityZone == zone) != (b.AvailabilityZone == zone) {
-			return a.AvailabilityZone == zone
-		}
-		sa, sb := score(h, a.Name), score(h, b.Name)
-		if sa != sb {
-			return sa > sb
+	ranked := make([]scored, len(routers))
+	for i, r := range routers {
+		ranked[i] = scored{name: r.Name, score: score(h, r.Name)}
+		if zone != "" && r.AvailabilityZone != zone {
+			ranked[i].far = 1
 		}
-		return a.Name < b.Name
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
 	})
 	names := make([]string, len(ranked))
 	for i, r := range ranked {
-		names[i] = r.Name
+		names[i] = r.name
 	}
 	return names
 }
--- a/internal/watcher/servers.go
+++ b/internal/watcher/servers.go
@@ -1,6 +1,8 @@
 package watcher
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"papayapaddle/internal/cataloger"
@@ -12,6 +14,12 @@
 func (w *Watcher) onServers(b batch) bool {
 	w.serversMu.Lock()
 	defer w.serversMu.Unlock()
+	w.apply(b)
+	return true
+}
+
+// apply does the same under the lock.
+func (w *Watcher) apply(b batch) {
 	if w.entries == nil {
 		w.entries, w.left, w.lapsed = map[string]*cataloger.Server{}, map[string]*cataloger.Server{}, map[string]time.Duration{}
 	}
@@ -20,8 +28,13 @@
 		w.contactAt.Store(int64(b.askedAt))
 	}
 	listed := map[string]bool{}
+	w.keepRows(b)
 	for _, r := range b.rows {
 		listed[r.Key] = true
+		if r.Version < w.rows[r.Key].Version {
+			// A peer gave a later one.
+			continue
+		}
 		w.entry(r, b, now)
 	}
 	if b.whole {
@@ -31,13 +44,21 @@
 			}
 		}
 	}
+	w.expire(now)
+	w.servers.reach(newest(b.rows))
+	w.publish()
+}
+
+// expire drops the lapsed entries whose time is over, and says whether any were.
+func (w *Watcher) expire(now time.Duration) bool {
+	dropped := false
 	for id, till := range w.lapsed {
 		if now > till {
 			w.drop(id, "did not return after the store did")
+			dropped = true
 		}
 	}
-	w.publish()
-	return true
+	return dropped
 }
 
 // entry applies one row.
@@ -106,12 +127,19 @@
 }
 
 // PeerContact takes in for how long a peer had proofs of the store without a
-// break. If that is since before this router regained it, then this router was
+// break. It comes with all news, so that entries also lapse while this router
+// need not read the store. If that is since before this router regained it, then this router was
 // cut off and not the store away: the entries that vanished are gone.
 func (w *Watcher) PeerContact(peer string, contact time.Duration) {
 	w.serversMu.Lock()
 	defer w.serversMu.Unlock()
-	if len(w.lapsed) == 0 || contact < w.Contact()+awayAfter {
+	if len(w.lapsed) == 0 {
+		return
+	}
+	if w.expire(w.Now()) {
+		w.publish()
+	}
+	if contact < w.Contact()+awayAfter {
 		return
 	}
 	for id := range w.lapsed {
@@ -145,3 +173,70 @@
 		w.OnServers(f)
 	}
 }
+
+// maxDeleted is the number of deleted rows that are kept for peers.
+const maxDeleted = 256
+
+// keepRows notes the rows of a batch for peers.
+func (w *Watcher) keepRows(b batch) {
+	if w.rows == nil || b.whole {
+		w.rows = make(map[string]Row, len(b.rows))
+		w.rowsSince = newest(b.rows)
+	}
+	deleted := 0
+	for _, r := range b.rows {
+		if r.Version >= w.rows[r.Key].Version {
+			w.rows[r.Key] = r
+		}
+	}
+	for _, r := range w.rows {
+		if r.Deleted {
+			deleted++
+		}
+	}
+	if deleted <= maxDeleted {
+		return
+	}
+	for k, r := range w.rows {
+		if r.Deleted {
+			delete(w.rows, k)
+			w.rowsSince = max(w.rowsSince, r.Version)
+		}
+	}
+}
+
+// ServerRows returns the entries that changed after a version, or all of them if
+// that cannot be told any more.
+func (w *Watcher) ServerRows(after uint64) (rows []Row, whole bool) {
+	w.serversMu.Lock()
+	defer w.serversMu.Unlock()
+	whole = after < w.rowsSince
+	for _, r := range w.rows {
+		if r.Version > after && !whole || whole && !r.Deleted {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
+	return rows, whole
+}
+
+// TakeServerRows applies entries that a peer has, whose last change was at the
+// given version. They were the newest at a time on the boot clock, if the peer
+// had proof of that.
+func (w *Watcher) TakeServerRows(rows []Row, whole bool, changed uint64, provenAt time.Duration, proven bool) {
+	w.serversMu.Lock()
+	defer w.serversMu.Unlock()
+	if changed <= w.servers.changed.Load() {
+		// The store was faster.
+		return
+	}
+	b := batch{rows: rows, whole: whole, askedAt: provenAt}
+	if age, ok := w.age(&w.servers); ok {
+		b.away = max(0, age)
+	}
+	w.apply(b)
+	w.servers.reach(changed)
+	if proven {
+		w.servers.prove(provenAt)
+	}
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -35,11 +35,23 @@
 
 // Row is one row of a followed table.
 type Row struct {
-	Key     string
-	Value   []byte
+	Key   string
+	Value []byte
+	// Version is the store's at the row's last change.
+	Version uint64
 	Deleted bool
 }
 
+// newest returns the largest version of the rows. Unlike the version of an
+// answer of the store it is the same for all routers that know the same rows.
+func newest(rows []Row) uint64 {
+	n := uint64(0)
+	for _, r := range rows {
+		n = max(n, r.Version)
+	}
+	return n
+}
+
 // Table reads a table whole or its changes since a version. Both return the
 // version to go on from. Gone says whether an error means that the asked history
 // is no longer there.
@@ -76,6 +88,10 @@
 	installMu sync.Mutex
 	serversMu sync.Mutex
 	entries   map[string]*cataloger.Server
+	// rows are the entries as the store gave them, deleted ones included, for
+	// peers. Deletions up to rowsSince are not among them.
+	rows      map[string]Row
+	rowsSince uint64
 	left      map[string]*cataloger.Server
 	// lapsed entries vanished while the store was away; they are used until their
 	// time is over or the store lists them again.
@@ -171,29 +187,39 @@
 }
 
 // ProveServers takes in that a peer's entries, changed last at a version, were
-// the newest at a time. Entries that this router lacks are read at once.
-func (w *Watcher) ProveServers(changed uint64, at time.Duration) {
+// the newest at a time. It says whether this router lacks entries.
+func (w *Watcher) ProveServers(changed uint64, at time.Duration) (lacking bool) {
 	mine := w.servers.changed.Load()
-	switch {
-	case changed == mine:
+	if changed == mine {
 		w.servers.prove(at)
-	case changed > mine:
-		w.servers.wanted.Store(changed)
-		select {
-		case w.servers.wake <- struct{}{}:
-		default:
-		}
+	}
+	return changed > mine
+}
+
+// WantServers makes this router read entries up to a version from the store.
+func (w *Watcher) WantServers(changed uint64) {
+	w.servers.wanted.Store(changed)
+	select {
+	case w.servers.wake <- struct{}{}:
+	default:
 	}
 }
 
-// Prove notes that the catalog of a version was the newest at a time on the
-// boot clock. A proof for an older version says nothing.
+// Version returns the version of the configuration in force, 0 before the first.
+func (w *Watcher) Version() uint64 {
+	if c := w.Catalog(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// Prove notes that the configuration of a version was the newest at a time on
+// the boot clock; version 0 says that there was none. A proof for an older
+// version says nothing.
 func (w *Watcher) Prove(version uint64, at time.Duration) {
-	c := w.Catalog()
-	if c == nil || c.Version != version {
-		return
+	if w.Version() == version {
+		w.config.prove(at)
 	}
-	w.config.prove(at)
 }
 
 // Install puts a configuration in force if it is newer than the present one.
@@ -264,9 +290,7 @@
 				// What cannot be read now may be replaced soon.
 				pauser.Pause(ctx, maxBackoff)
 			}
-			if b.whole || len(b.rows) > 0 {
-				f.reach(next)
-			}
+			f.reach(newest(b.rows))
 			if want := f.wanted.Load(); want <= next {
 				f.reach(want)
 			}
@@ -339,9 +363,5 @@
 // Describe tells the state of the beliefs for a dump.
 func (w *Watcher) Describe() string {
 	age, ok := w.Age()
-	v := uint64(0)
-	if c := w.Catalog(); c != nil {
-		v = c.Version
-	}
-	return fmt.Sprintf("version %d, proven %v %v ago", v, ok, age)
+	return fmt.Sprintf("version %d, proven %v %v ago", w.Version(), ok, age)
 }
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -74,6 +74,10 @@
 				r.Value = []byte("{")
 			case "address":
 				s.Address = v
+			case "at":
+				n, err := strconv.ParseUint(v, 10, 64)
+				qt.Assert(t, err, qt.IsNil)
+				r.Version = n
 			case "born":
 				n, err := strconv.ParseInt(v, 10, 64)
 				qt.Assert(t, err, qt.IsNil)
@@ -189,3 +193,54 @@
 		}
 	})
 }
+
+// TestPeersPassEntriesOn lets one router follow the store and another one take
+// the entries from it, at any moments: it believes the same, also after the
+// first one has forgotten old deletions.
+func TestPeersPassEntriesOn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first, second := newBench(), newBench()
+		version := uint64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			first.now += 100 * time.Millisecond
+			second.now = first.now
+			if rapid.Bool().Draw(t, "pass") {
+				changed, _, _ := first.w.ServersAge()
+				rows, whole := first.w.ServerRows(second.w.servers.changed.Load())
+				second.w.TakeServerRows(rows, whole, changed, first.now, true)
+				if first.w.Fleet() != nil && first.servers() != second.servers() {
+					t.Fatalf("first:\n%ssecond:\n%s", first.servers(), second.servers())
+				}
+				continue
+			}
+			b := batch{askedAt: first.now, whole: version == 0 || rapid.IntRange(0, 9).Draw(t, "whole") == 0}
+			for _, key := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d"}), 1, 4, rapid.ID[string]).Draw(t, "keys") {
+				version++
+				r := Row{Key: key, Version: version, Deleted: !b.whole && rapid.Bool().Draw(t, "deleted")}
+				if !r.Deleted {
+					r.Value = fmt.Appendf(nil, `{"Service":"pool","Address":"x:%d","Born":%d}`, version, version)
+				}
+				b.rows = append(b.rows, r)
+			}
+			first.w.onServers(b)
+			first.w.servers.prove(b.askedAt)
+		}
+	})
+}
+
+// TestLateRowsOfAPeer checks that entries which a peer gave too late change
+// nothing.
+func TestLateRowsOfAPeer(t *testing.T) {
+	c := qt.New(t)
+	b := newBench()
+	row := func(version uint64, deleted bool) Row {
+		return Row{Key: "a", Version: version, Deleted: deleted, Value: []byte(`{"Service":"pool","Address":"x:1"}`)}
+	}
+	b.w.onServers(batch{rows: []Row{row(1, false)}, whole: true, askedAt: b.now})
+	b.w.onServers(batch{rows: []Row{row(3, true)}, askedAt: b.now})
+	c.Assert(b.servers(), qt.Equals, "none\n")
+	b.w.TakeServerRows([]Row{row(1, false)}, true, 2, b.now, true)
+	c.Assert(b.servers(), qt.Equals, "none\n")
+	b.w.onServers(batch{rows: []Row{row(1, false)}, askedAt: b.now})
+	c.Assert(b.servers(), qt.Equals, "none\n", qt.Commentf("the store's feed repeats what a peer told before"))
+}
