--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -130,7 +130,7 @@
 	if e.holds[key] != nil {
 		return
 	}
-	e.memory.read(now, k.Parts)
+	e.memory.read(k.Parts)
 	e.holds[key] = &hold{ask: k, grantedAt: now, started: true}
 }
 
--- a/internal/admitter/engine.go
+++ b/internal/admitter/engine.go
@@ -100,7 +100,7 @@
 // grant hands a request to the engine.
 func (e *engine) grant(now time.Time, a *Ask) *hold {
 	h := &hold{ask: a, reading: e.memory.missing(a.Prompt, a.Parts), grantedAt: now}
-	e.memory.read(now, a.Parts)
+	e.memory.read(a.Parts)
 	if e.busyTill.Before(now) {
 		e.busyTill = now
 	}
--- a/internal/admitter/memory.go
+++ b/internal/admitter/memory.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -36,11 +35,6 @@
 	recent   *list.List
 }
 
-type memoryEntry struct {
-	part   Part
-	usedAt time.Time
-}
-
 // missing returns how many tokens of a prompt have to be read.
 func (m *memory) missing(prompt int, parts []Part) int {
 	kept := 0
@@ -54,7 +48,7 @@
 }
 
 // read notes that the engine reads a prompt.
-func (m *memory) read(now time.Time, parts []Part) {
+func (m *memory) read(parts []Part) {
 	if m.byID == nil {
 		m.byID = map[uint64]*list.Element{}
 		m.recent = list.New()
@@ -66,12 +60,12 @@
 			m.recent.MoveToFront(e)
 			continue
 		}
-		m.byID[p.ID] = m.recent.PushFront(&memoryEntry{part: p, usedAt: now})
+		m.byID[p.ID] = m.recent.PushFront(p)
 		m.used += p.Tokens
 	}
 	for m.used > m.capacity && m.recent.Len() > 0 {
 		last := m.recent.Back()
-		p := m.recent.Remove(last).(*memoryEntry).part
+		p := m.recent.Remove(last).(Part)
 		delete(m.byID, p.ID)
 		m.used -= p.Tokens
 	}
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -61,7 +61,7 @@
 	}}
 	r.Messenger.Handlers = messenger.Handlers{
 		News: func(*messenger.News) messenger.News { return messenger.News{} }, Ask: r.HandleAsk, Settle: r.HandleSettle,
-		Fetch: func(uint64) []byte { return nil },
+		Fetch: func(uint64) messenger.FetchReply { return messenger.FetchReply{} },
 	}
 	go func() { _ = r.Messenger.Serve(r) }()
 	n.routers[name] = r
--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -108,8 +108,6 @@
 	Slots int
 	// MemoryTokens is the size of the memory for prompts and answers.
 	MemoryTokens int
-	// EventTokens is the number of tokens in one event of a stream.
-	EventTokens int
 }
 
 // Service is a set of interchangeable backend servers.
@@ -210,12 +208,6 @@
 	return c.byKey[HashKey(key)]
 }
 
-// Holds says whether the workspace of that name still holds the key.
-func (c *Catalog) Holds(name string, key KeyHash) bool {
-	w := c.byKey[key]
-	return w != nil && w.Name == name
-}
-
 // Server is one incarnation of a backend server.
 type Server struct {
 	ID      string
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -242,7 +242,7 @@
 		n.log("settle-lost", "peer", address, "outcomes", outcomes, "err", err)
 	}
 	m.Handlers = messenger.Handlers{
-		News: n.onNews, Ask: a.HandleAsk, Settle: a.HandleSettle, Fetch: w.Raw,
+		News: n.onNews, Ask: a.HandleAsk, Settle: a.HandleSettle, Fetch: n.onFetch,
 		Servers: n.onServersAsked,
 	}
 }
--- a/internal/conductor/news.go
+++ b/internal/conductor/news.go
@@ -26,7 +26,8 @@
 	freshEnough = 150 * time.Millisecond
 	// askFirst is the age of a proof from which the first router asks the store,
 	// askStep what each further one waits longer, askMost the most. One answer
-	// reaches all routers within two periods of news.
+	// reaches all routers within two periods of news; where these are long, the
+	// steps are too.
 	askFirst = 300 * time.Millisecond
 	askStep  = 150 * time.Millisecond
 	askMost  = 1200 * time.Millisecond
@@ -141,7 +142,8 @@
 // askAfter returns the age of a proof from which this router asks the store. The
 // routers' order by name decides who asks first.
 func (n *node) askAfter() time.Duration {
-	return min(askFirst+time.Duration(n.rank())*askStep, askMost)
+	step := max(askStep, n.period()/2)
+	return min(askFirst+time.Duration(n.rank())*step, askMost)
 }
 
 // news returns what the peer is told.
@@ -196,18 +198,36 @@
 	}
 }
 
+// onFetch answers a peer that lacks a configuration newer than a version.
+func (n *node) onFetch(after uint64) messenger.FetchReply {
+	// The proof comes first, as in news.
+	ago, proven := n.watcher.Age()
+	if !proven {
+		ago = -1
+	}
+	raw, version := n.watcher.Raw(after)
+	return messenger.FetchReply{Config: raw, Version: version, ProvenAgo: ago}
+}
+
 // fetch installs a newer configuration that a peer has.
 func (n *node) fetch(from messenger.Peer, version uint64) {
 	after := n.watcher.Version()
 	if after >= version {
 		return
 	}
-	raw, err := n.messenger.Fetch(context.Background(), from.Address, after)
-	if err == nil && len(raw) > 0 {
-		_, err = n.watcher.Install(raw, from.Name)
+	askedAt := timer.Boot()
+	reply, err := n.messenger.Fetch(context.Background(), from.Address, after)
+	if err != nil || len(reply.Config) == 0 {
+		n.log("config-fetch-failed", "peer", from.Name, "version", version, "err", err)
+		return
 	}
+	c, err := n.watcher.Install(reply.Config, from.Name)
 	if err != nil {
-		n.log("config-fetch-failed", "peer", from.Name, "version", version, "err", err)
+		n.log("config-unreadable", "peer", from.Name, "version", version, "err", err)
+		return
+	}
+	if reply.ProvenAgo >= 0 {
+		n.watcher.Prove(min(c.Version, reply.Version), askedAt-reply.ProvenAgo)
 	}
 }
 
--- a/internal/conductor/place.go
+++ b/internal/conductor/place.go
@@ -18,8 +18,21 @@
 )
 
 // place finds a server for a call: a place on a model server from its owner, a
-// plain service's server by this router alone.
+// plain service's server by this router alone. A server that began to leave while
+// the call waited for its place is passed over.
 func (n *node) place(ctx context.Context, c *relayer.Call) (*relayer.Place, *relayer.Refusal) {
+	for {
+		p, r := n.placeOnce(ctx, c)
+		if r != nil || n.watcher.Usable(p.Server) {
+			return p, r
+		}
+		p.End(relayer.End{})
+		n.log("place-given-back", "request", c.ID, "server", p.Server.ID, "why", "it leaves")
+		c.Exclude = append(c.Exclude, p.Server.ID)
+	}
+}
+
+func (n *node) placeOnce(ctx context.Context, c *relayer.Call) (*relayer.Place, *relayer.Refusal) {
 	if c.Service.Engine != nil {
 		return n.placeOnEngine(ctx, c)
 	}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -99,7 +99,12 @@
 
 // FetchReply is the configuration as the platform stores it, empty if there is
 // none that is newer.
-type FetchReply struct{ Config []byte }
+type FetchReply struct {
+	Config  []byte
+	Version uint64
+	// ProvenAgo is as in News.
+	ProvenAgo time.Duration
+}
 
 // ServersArgs asks for the backend servers' entries that changed after a version
 // of the store.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -47,7 +47,8 @@
 	// Ask blocks until the ask is decided.
 	Ask    func(*AskArgs) AskReply
 	Settle func(*Settlement)
-	Fetch  func(after uint64) []byte
+	// Fetch returns the configuration if it is newer than a version.
+	Fetch func(after uint64) FetchReply
 	// Servers returns the backend servers' entries that changed after a version.
 	Servers func(after uint64) ServersReply
 }
@@ -192,10 +193,12 @@
 }
 
 // Fetch asks a peer for a newer configuration.
-func (m *Messenger) Fetch(ctx context.Context, address string, after uint64) ([]byte, error) {
+func (m *Messenger) Fetch(ctx context.Context, address string, after uint64) (*FetchReply, error) {
 	var reply FetchReply
-	err := m.prompt(ctx, address, "Fetch", &FetchArgs{After: after}, &reply)
-	return reply.Config, err
+	if err := m.prompt(ctx, address, "Fetch", &FetchArgs{After: after}, &reply); err != nil {
+		return nil, err
+	}
+	return &reply, nil
 }
 
 // Servers asks a peer for the backend servers' entries that changed after a
@@ -308,7 +311,7 @@
 
 // Fetch returns the configuration.
 func (s *service) Fetch(in *FetchArgs, out *FetchReply) error {
-	out.Config = s.h.Fetch(in.After)
+	*out = s.h.Fetch(in.After)
 	return nil
 }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -102,12 +102,24 @@
 		return &lost{notRun: true, sent: true, reason: "another-server"}
 	case v.NotRun:
 		return &lost{notRun: true, sent: true, reason: "server-refused"}
+	case promises(a.Status):
+		// The caller would take it for a promise that the server did not give.
+		return &lost{sent: true, reason: "unfounded-refusal", err: errors.New("status " + strconv.Itoa(a.Status))}
 	case a.Status < 300 && (!v.Signed || v.ID != x.call.ID):
 		return &lost{sent: true, reason: "unsigned-answer"}
 	}
 	return nil
 }
 
+// promises says whether a status tells callers that a request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // again says whether another attempt keeps every promise.
 func (x *exchange) again(ctx context.Context, l *lost) bool {
 	if !l.notRun {
--- a/internal/relayer/envelope.go
+++ b/internal/relayer/envelope.go
@@ -22,6 +22,8 @@
 	Parts           []Part
 	// LastEvent is the last event that the caller has of a stream it resumes.
 	LastEvent string
+	// Unreadable names the headers whose counts could not be read.
+	Unreadable []string
 }
 
 // Part is one part of a prompt, in order.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -63,9 +64,9 @@
 const (
 	// retrySoon is told when a later try may find the router or a server ready.
 	retrySoon = 500 * time.Millisecond
-	// retryUnproven is told when the configuration cannot be proven current: the
-	// next try should reach another router.
-	retryUnproven = 200 * time.Millisecond
+	// RetryElsewhere is told when this router cannot serve a request and others
+	// may: the next try reaches another one.
+	RetryElsewhere = 200 * time.Millisecond
 	// maxBodyDefault bounds a body while no configuration says otherwise.
 	maxBodyDefault = 4 << 20
 	// acceptAfterStop is how long after the start of a shutdown a request is still
@@ -142,6 +143,9 @@
 			"wait-ms", x.waited.Milliseconds(), "patience-ms", x.call.Patience.Milliseconds(), "prompt", x.call.PromptTokens,
 			"answer-hint", x.call.LengthHint, "answer-most", x.call.MaxAnswerTokens)
 	}
+	if u := x.call.Unreadable; len(u) > 0 {
+		kv = append(kv, "unreadable", strings.Join(u, ","))
+	}
 	x.Log("request", append(kv, x.detail...)...)
 	if x.Observe != nil {
 		x.Observe(s)
@@ -208,7 +212,7 @@
 	route := c.Route(x.req.Host, x.req.URL.EscapedPath())
 	if route == nil {
 		if !fresh {
-			x.refuse("configuration-unproven", retryUnproven)
+			x.refuse("configuration-unproven", RetryElsewhere)
 			return false
 		}
 		x.reject(http.StatusNotFound, "no-route")
@@ -220,7 +224,7 @@
 		return true
 	}
 	if !fresh {
-		x.refuse("configuration-unproven", retryUnproven)
+		x.refuse("configuration-unproven", RetryElsewhere)
 		return false
 	}
 	w := c.Workspace(x.call.Key)
@@ -248,12 +252,12 @@
 	}
 	x.call.Deadline = x.call.Arrived.Add(limit)
 	if x.tooLate() {
-		x.refuse("shutting-down", retryUnproven)
+		x.refuse("shutting-down", RetryElsewhere)
 		return false
 	}
 	if why := x.Busy(x.call.Route.Work, x.active.Load()); why != "" {
 		// The next try reaches another router.
-		x.refuse(why, retryUnproven)
+		x.refuse(why, RetryElsewhere)
 		return false
 	}
 	return true
@@ -288,7 +292,7 @@
 		return false
 	}
 	if !x.call.Route.Leads(service.Name) {
-		x.refuse("route-moved", retryUnproven)
+		x.refuse("route-moved", RetryElsewhere)
 		return false
 	}
 	return true
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -172,6 +172,8 @@
 	places  []string
 	refusal *Refusal
 	busy    string
+	// waiting is called while a request waits for its place, if set.
+	waiting func()
 }
 
 var routes = []*cataloger.Route{
@@ -223,6 +225,9 @@
 }
 
 func (b *bench) place(ctx context.Context, c *Call) (*Place, *Refusal) {
+	if b.waiting != nil {
+		b.waiting()
+	}
 	if b.refusal != nil {
 		return nil, b.refusal
 	}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -33,12 +33,24 @@
 	number  int64
 	numbers bool
 	events  int
+	// consecutive says that all numbers so far followed one on the other, so that
+	// a missing one shows.
+	consecutive bool
+}
+
+// resumed notes the last event that the caller has.
+func (f *flow) resumed(last string) {
+	n, err := strconv.ParseInt(last, 10, 64)
+	f.number, f.numbers, f.consecutive = n, err == nil, err == nil
 }
 
 // stream serves a request whose answer is a stream of events.
 func (x *exchange) stream(ctx context.Context) {
 	defer func() { x.Buffer.Release(x.body) }()
-	f := &flow{x: x}
+	f := &flow{x: x, consecutive: true}
+	if last := x.call.LastEvent; last != "" && x.call.Route.Resumable {
+		f.resumed(last)
+	}
 	for {
 		p, ok := x.place(ctx)
 		if !ok {
@@ -217,8 +229,11 @@
 		if err == nil && f.numbers && n <= f.number {
 			return nil
 		}
-		f.numbers = err == nil
-		f.number = n
+		follows := err == nil && n == f.number+1
+		if x.call.Route.Resumable && f.consecutive && !follows && f.events > 0 {
+			return &lost{sent: true, reason: "event-missing", err: errors.New("event " + id + " after " + f.last)}
+		}
+		f.numbers, f.number, f.consecutive = err == nil, n, f.consecutive && follows
 	}
 	if f.events == 0 {
 		now := time.Now()
@@ -239,12 +254,12 @@
 	return nil
 }
 
-// eventID returns the id line of an event.
-func eventID(event []byte) (string, bool) {
+// eventID returns the id of an event: its last id line counts.
+func eventID(event []byte) (id string, ok bool) {
 	for line := range bytes.Lines(event) {
-		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(v)), true
+		if v, found := bytes.CutPrefix(line, []byte("id:")); found {
+			id, ok = string(bytes.TrimSpace(v)), true
 		}
 	}
-	return "", false
+	return id, ok
 }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -155,17 +155,28 @@
 	return nil
 }
 
-// Raw returns the configuration's bytes if it is newer than a version.
-func (w *Watcher) Raw(after uint64) []byte {
+// Raw returns the configuration's bytes and version if it is newer than a
+// version.
+func (w *Watcher) Raw(after uint64) ([]byte, uint64) {
 	if i := w.catalog.Load(); i != nil && i.catalog.Version > after {
-		return i.raw
+		return i.raw, i.catalog.Version
 	}
-	return nil
+	return nil, 0
 }
 
 // Fleet returns the servers, nil before they were first read.
 func (w *Watcher) Fleet() *Fleet { return w.fleet.Load() }
 
+// Usable says whether a server may still get work.
+func (w *Watcher) Usable(s *cataloger.Server) bool {
+	f := w.Fleet()
+	if f == nil || s == nil {
+		return false
+	}
+	now := f.ByID[s.ID]
+	return now != nil && now.Same(s) && !now.Leaving
+}
+
 // Age returns how long ago the catalog was provably the newest.
 func (w *Watcher) Age() (time.Duration, bool) {
 	return w.age(&w.config)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -244,3 +244,24 @@
 	b.w.onServers(batch{rows: []Row{row(1, false)}, askedAt: b.now})
 	c.Assert(b.servers(), qt.Equals, "none\n", qt.Commentf("the store's feed repeats what a peer told before"))
 }
+
+// TestUsable checks what may still get work that was chosen a while ago.
+func TestUsable(t *testing.T) {
+	c := qt.New(t)
+	b := newBench()
+	version := uint64(0)
+	put := func(born int64, leaving, deleted bool) {
+		version++
+		v := fmt.Appendf(nil, `{"Service":"pool","Address":"x:1","Born":%d,"Leaving":%v}`, born, leaving)
+		b.w.onServers(batch{rows: []Row{{Key: "a", Version: version, Value: v, Deleted: deleted}}, askedAt: b.now})
+	}
+	put(1, false, false)
+	chosen := b.w.Fleet().ByID["a"]
+	c.Assert(b.w.Usable(chosen), qt.IsTrue)
+	put(1, true, false)
+	c.Assert(b.w.Usable(chosen), qt.IsFalse, qt.Commentf("it leaves"))
+	put(2, false, false)
+	c.Assert(b.w.Usable(chosen), qt.IsFalse, qt.Commentf("it was born again"))
+	put(2, false, true)
+	c.Assert(b.w.Usable(b.w.Fleet().ByID["a"]), qt.IsFalse, qt.Commentf("it is gone"))
+}
