A slow router always takes some connections, and turns fewer away

And refusals took most of a small router's processor.

Change: below the number of requests one connection in 50 ms is taken beyond the bound; at most 165 a second are turned away (330).

--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -59,7 +59,7 @@
 	if err := linker.LimitQueue(callers, maxQueue); err != nil {
 		return failer.Wrap("listen", KindListen, err)
 	}
-	bounded := bound(callers, n.pressure.connections, n.turnedAway, func() { n.meter.count("caller-connections-closed") })
+	bounded := bound(callers, n.pressure.takes, n.turnedAway, func() { n.meter.count("caller-connections-closed") })
 	n.pressure.report = func() {
 		n.log("pressure", "lag-ms", time.Duration(n.pressure.lag.Load()).Milliseconds(), "limit", n.pressure.limit.Load(),
 			"most", n.pressure.maxRequests, "active", n.relayer.Active(), "connections", bounded.open.Load(),
--- a/internal/conductor/pressure.go
+++ b/internal/conductor/pressure.go
@@ -38,6 +38,8 @@
 	// callers keep a connection for one request at a time.
 	connectionsPer = 2
 	minConnections = 64
+	// takeEvery is the time after which it takes one more all the same.
+	takeEvery = 50 * time.Millisecond
 	// requestBytes is about the memory of one request that is served: two
 	// connections with their buffers and goroutines, headers and a timer.
 	requestBytes = 64 << 10
@@ -71,6 +73,9 @@
 	// active counts the requests being served.
 	active func() int64
 
+	// tookAt is when a connection beyond the number was taken; only the goroutine
+	// that accepts them uses it.
+	tookAt time.Time
 	// report is told each reportEvery while the limit is below its most.
 	report func()
 
@@ -148,11 +153,19 @@
 	return ""
 }
 
-// connections is the number of connections that callers may have open.
-func (p *pressure) connections() int64 {
+// takes says whether one more connection may be opened beside so many. A slow
+// router keeps few, as the requests on them cost more to refuse; but it always
+// takes some, or the unused ones would shut all others out.
+func (p *pressure) takes(now time.Time, open int64) bool {
 	limit := p.limit.Load()
-	if limit >= p.maxRequests {
-		return p.maxConnections
+	switch {
+	case open >= p.maxConnections:
+		return false
+	case limit >= p.maxRequests || open < connectionsPer*limit+minConnections:
+		return true
+	case p.active() >= limit || now.Sub(p.tookAt) < takeEvery:
+		return false
 	}
-	return min(p.maxConnections, connectionsPer*limit+minConnections)
+	p.tookAt = now
+	return true
 }
--- a/internal/conductor/turnaway.go
+++ b/internal/conductor/turnaway.go
@@ -22,8 +22,9 @@
 	maxTurning = 32
 	maxQueue   = 128
 	// turnEvery is the least time between two connections that are turned away. One
-	// costs 0.1 ms, and the processor is for those that are served.
-	turnEvery = 3 * time.Millisecond
+	// takes up to half a millisecond of a small router, whose processor is for those
+	// that are served.
+	turnEvery = 6 * time.Millisecond
 	// turnTimeout is how long a caller may take to send what is turned away.
 	turnTimeout = 500 * time.Millisecond
 	// turnBytes is what is read of a request; most are far shorter.
@@ -37,7 +38,8 @@
 // back at once, 3,000 times a second on grown sdb-quotes scale-1.
 type boundedListener struct {
 	net.Listener
-	most func() int64
+	// takes says whether one more connection may be opened beside so many.
+	takes func(now time.Time, open int64) bool
 	// refuse refuses a request.
 	refuse func(req *http.Request) http.Header
 	// closed is told of each connection that was closed unread.
@@ -48,8 +50,8 @@
 }
 
 // bound returns a listener that hands on connections within a bound.
-func bound(ln net.Listener, most func() int64, refuse func(*http.Request) http.Header, closed func()) *boundedListener {
-	return &boundedListener{Listener: ln, most: most, refuse: refuse, closed: closed, turning: make(chan struct{}, maxTurning)}
+func bound(ln net.Listener, takes func(time.Time, int64) bool, refuse func(*http.Request) http.Header, closed func()) *boundedListener {
+	return &boundedListener{Listener: ln, takes: takes, refuse: refuse, closed: closed, turning: make(chan struct{}, maxTurning)}
 }
 
 // Accept returns the next connection within the bound.
@@ -60,7 +62,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.open.Add(1) <= l.most() {
+		if l.takes(time.Now(), l.open.Add(1)-1) {
 			if err := linker.Probe(c, callerSilence); err != nil {
 				// It has just ended.
 				l.open.Add(-1)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -256,7 +256,8 @@
 		return false
 	}
 	if why := x.Busy(x.call.Route.Work, x.active.Load()); why != "" {
-		// The next try reaches another router.
+		// The next try reaches another router. The connection stays: opening a new one
+		// costs a router that cannot keep up more than this refusal.
 		x.refuse(why, RetryElsewhere)
 		return false
 	}
