--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -25,9 +25,9 @@
 	// never was.
 	Version   uint64
 	ProvenAgo time.Duration
-	// ServersChanged is the store's version of the last change to the backend
-	// servers' entries that the router knows, and ServersAgo how long ago that was
-	// provably the newest; negative if it never was.
+	// ServersChanged is the store's version up to which the router knows all changes
+	// of the backend servers' entries, and ServersAgo how long ago there provably was
+	// no later one; negative if that was never proven.
 	ServersChanged uint64
 	ServersAgo     time.Duration
 	// Contact is for how long the router has had such proofs without a break.
@@ -114,8 +114,7 @@
 type ServersReply struct {
 	Rows  []ServerRow
 	Whole bool
-	// Changed is the version of the last change that the peer knows, and Ago how
-	// long ago that was provably the newest; negative if it never was.
+	// Changed and Ago are as ServersChanged and ServersAgo in News.
 	Changed uint64
 	Ago     time.Duration
 }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -107,7 +107,7 @@
 	// provenAt is when the question was asked whose answer proved that the rows
 	// are the newest, on the boot clock, in nanoseconds; 0 for never.
 	provenAt atomic.Int64
-	// changed is the store's version of the last change that was applied.
+	// changed is the store's version up to which all changes were applied.
 	changed atomic.Uint64
 	// wanted is a version that a peer has and this router must read; wake ends the
 	// pause then, if it is set.
@@ -191,8 +191,8 @@
 	return w.Now() - time.Duration(at), true
 }
 
-// ServersAge returns the version of the newest change of the servers' entries,
-// and how long ago it was provably the newest.
+// ServersAge returns the store's version up to which all changes of the servers'
+// entries are known, and how long ago there provably was no later one.
 func (w *Watcher) ServersAge() (changed uint64, age time.Duration, proven bool) {
 	age, proven = w.age(&w.servers)
 	return w.servers.changed.Load(), age, proven
