--- a/internal/relayer/model_test.go
+++ b/internal/relayer/model_test.go
@@ -120,10 +120,10 @@
 var eventServer = regexp.MustCompile(`data: ([ab])`)
 
 // TestStreamsAreNeverJoined lets servers send pieces of streams, whole, cut,
-// repeated, in wrong order and mixed with garbage. What the caller gets is a
-// prefix of the stream without gaps or repeats, the whole of it if it ends as
-// complete, and from one server unless it may be taken up elsewhere. Numbers need
-// only rise, so that a gap shows only after numbers without one.
+// repeated, in wrong order and mixed with garbage. What the caller gets rises
+// without repeats, comes from one server unless the stream may be taken up
+// elsewhere, and has no gap there after numbers that followed one on the other. A
+// server's proper end is believed, as no event says that it is the last.
 func TestStreamsAreNeverJoined(t *testing.T) {
 	piece := rapid.Custom(func(t *rapid.T) string {
 		switch rapid.IntRange(0, 9).Draw(t, "piece") {
@@ -176,8 +176,6 @@
 			b.places, b.back.scripts = []string{"a", "b"}, scripts
 			w, cut := b.plain(path)
 			wrong = check(w.Body.String(), path == "/chat/x")
-			// Without a last event known, a server's proper end is believed; here only
-			// chunked streams have one, and connections that close.
 			if wrong == "" && !cut && w.Code < 300 && w.Header().Get("Signed") == "" {
 				wrong = "a success without signature"
 			}
