--- a/internal/conductor/pressure.go
+++ b/internal/conductor/pressure.go
@@ -38,7 +38,8 @@
 	// callers keep a connection for one request at a time.
 	connectionsPer = 2
 	minConnections = 64
-	// takeEvery is the time after which it takes one more all the same.
+	// takeEvery is the time after which it takes one more all the same: 20 a second
+	// are a fifth of what a router with a fifth of a core can answer.
 	takeEvery = 50 * time.Millisecond
 	// requestBytes is about the memory of one request that is served: two
 	// connections with their buffers and goroutines, headers and a timer.
--- a/internal/conductor/turnaway.go
+++ b/internal/conductor/turnaway.go
@@ -16,11 +16,14 @@
 )
 
 const (
-	// maxTurning is the number of connections that are turned away at the same time.
-	// More wait in the system's queue, and not for long: a pace of 165 a second left
-	// callers there for 11 s, who were gone when their requests were read.
+	// maxTurning is the number of connections that are turned away at the same time,
+	// which bounds their memory to 0.5 MB of buffers. There is no pace beyond that: at
+	// 165 a second callers waited 11 s in the system's queue, and had left when their
+	// requests were read.
 	maxTurning = 32
-	maxQueue   = 128
+	// maxQueue is the number of connections that may wait in the system's queue. Half a
+	// second of what a small router turns away; callers wait a second for one.
+	maxQueue = 128
 	// turnTimeout is how long a caller may take to send what is turned away.
 	turnTimeout = 500 * time.Millisecond
 	// turnBytes is what is read of a request; most are far shorter.
--- a/internal/watcher/servers.go
+++ b/internal/watcher/servers.go
@@ -132,9 +132,10 @@
 }
 
 // PeerContact takes in for how long a peer had proofs of the store without a
-// break. It comes with all news, so that entries also lapse while this router
-// need not read the store. If that is since before this router regained it, then this router was
-// cut off and not the store away: the entries that vanished are gone.
+// break. A peer that had them before this router regained the store shows that
+// this router was cut off and the store not away: the entries that vanished are
+// gone. The call comes with all news, so entries lapse here too while this router
+// need not read the store.
 func (w *Watcher) PeerContact(peer string, contact time.Duration) {
 	w.serversMu.Lock()
 	defer w.serversMu.Unlock()
