--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -100,6 +100,7 @@
 	relayer   *relayer.Relayer
 	meter     *meter
 	pressure  *pressure
+	refusals  refusalLog
 
 	peers     net.Listener
 	callers   *http.Server
@@ -228,7 +229,7 @@
 		Closing: n.closing,
 		Busy:    n.pressure.busy,
 		Buffer:  &relayer.Budget{Bytes: int64(float64(n.settings.Limits.MemoryMB<<20) * bodyShare)},
-		Log:     n.log, Observe: n.meter.observe,
+		Log:     n.log, LogRefusal: n.refusals.allow, Observe: n.meter.observe,
 	}
 }
 
--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -60,11 +60,7 @@
 		return failer.Wrap("listen", KindListen, err)
 	}
 	bounded := bound(callers, n.pressure.takes, n.turnedAway, func() { n.meter.count("caller-connections-closed") })
-	n.pressure.report = func() {
-		n.log("pressure", "lag-ms", time.Duration(n.pressure.lag.Load()).Milliseconds(), "limit", n.pressure.limit.Load(),
-			"most", n.pressure.maxRequests, "active", n.relayer.Active(), "connections", bounded.open.Load(),
-			"turned-away", n.meter.get("caller-connections-turned-away"), "closed", n.meter.get("caller-connections-closed"))
-	}
+	n.pressure.report = func() { n.reportPressure(bounded.open.Load()) }
 	var ctx context.Context
 	ctx, n.cancel = context.WithCancel(context.Background())
 	n.peers = peers
--- a/internal/conductor/pressure.go
+++ b/internal/conductor/pressure.go
@@ -77,10 +77,13 @@
 	// tookAt is when a connection beyond the number was taken; only the goroutine
 	// that accepts them uses it.
 	tookAt time.Time
-	// report is told each reportEvery while the limit is below its most.
+	// report is told each reportEvery while requests are turned away, or may be.
 	report func()
 
 	lag atomic.Int64
+	// taken and refused count the requests that busy was asked about.
+	taken   atomic.Int64
+	refused atomic.Int64
 	// limit is the number of requests that may be served at the same time, at least
 	// least.
 	limit atomic.Int64
@@ -108,6 +111,7 @@
 	t := time.NewTimer(lagStep)
 	defer t.Stop()
 	var reported time.Time
+	var reportedRefused int64
 	for {
 		began := time.Now()
 		select {
@@ -115,9 +119,11 @@
 			return
 		case <-t.C:
 			p.note(time.Since(began) - lagStep)
-			if p.limit.Load() < p.maxRequests && time.Since(reported) > reportEvery {
-				reported = time.Now()
-				p.report()
+			if time.Since(reported) > reportEvery {
+				if refused := p.refused.Load(); p.limit.Load() < p.maxRequests || refused > reportedRefused {
+					reported, reportedRefused = time.Now(), refused
+					p.report()
+				}
 			}
 			t.Reset(lagStep)
 		}
@@ -141,6 +147,16 @@
 
 // busy says why a request cannot be taken, or nothing.
 func (p *pressure) busy(work cataloger.Work, active int64) string {
+	why := p.judge(work, active)
+	if why == "" {
+		p.taken.Add(1)
+	} else {
+		p.refused.Add(1)
+	}
+	return why
+}
+
+func (p *pressure) judge(work cataloger.Work, active int64) string {
 	share := 1.0
 	if work != cataloger.WorkStream {
 		share = plainShare
--- a/internal/conductor/turnaway.go
+++ b/internal/conductor/turnaway.go
@@ -124,12 +124,28 @@
 	e, err := n.relayer.Codec.DecodeRequest(req.Header)
 	n.relayer.Codec.EncodeRefusal(h, e.ID, relayer.RetryElsewhere)
 	n.meter.count("caller-connections-turned-away")
+	if !n.refusals.allow() {
+		return h
+	}
 	reason := "router-slow"
 	if n.pressure.limit.Load() >= n.pressure.maxRequests {
 		reason = "router-full"
 	}
 	n.log("request", "request", e.ID, "outcome", "refused", "status", http.StatusServiceUnavailable, "reason", reason,
+		"workspace", n.workspaceOf(e.Key), "prompt", e.PromptTokens, "kept", false,
 		"lag-ms", time.Duration(n.pressure.lag.Load()).Milliseconds(), "limit", n.pressure.limit.Load(),
 		"active", n.relayer.Active(), "retry-after-ms", relayer.RetryElsewhere.Milliseconds(), "err", err)
 	return h
 }
+
+// workspaceOf names the workspace of a key for a log line, if it is known.
+func (n *node) workspaceOf(key string) string {
+	c := n.watcher.Catalog()
+	if c == nil || key == "" {
+		return ""
+	}
+	if w := c.Workspace(key); w != nil {
+		return w.Name
+	}
+	return ""
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -44,6 +44,9 @@
 	// Buffer reserves memory for a body; false means that there is none left.
 	Buffer *Budget
 	Log    func(event string, keyvals ...any)
+	// LogRefusal says whether one more refusal for the router's own sake gets a log
+	// line; nil logs all.
+	LogRefusal func() bool
 	// Observe is told of each end, for metrics.
 	Observe func(Summary)
 
@@ -107,6 +110,8 @@
 	outcome string
 	status  int
 	detail  []any
+	// busy says that the router refused the request for its own sake.
+	busy bool
 }
 
 // ServeHTTP serves one request.
@@ -146,7 +151,9 @@
 	if u := x.call.Unreadable; len(u) > 0 {
 		kv = append(kv, "unreadable", strings.Join(u, ","))
 	}
-	x.Log("request", append(kv, x.detail...)...)
+	if !x.busy || x.LogRefusal == nil || x.LogRefusal() {
+		x.Log("request", append(kv, x.detail...)...)
+	}
 	if x.Observe != nil {
 		x.Observe(s)
 	}
@@ -258,6 +265,7 @@
 	if why := x.Busy(x.call.Route.Work, x.active.Load()); why != "" {
 		// The next try reaches another router. The connection stays: opening a new one
 		// costs a router that cannot keep up more than this refusal.
+		x.busy = true
 		x.refuse(why, RetryElsewhere)
 		return false
 	}
