--- a/internal/conductor/pressure_test.go
+++ b/internal/conductor/pressure_test.go
@@ -185,3 +185,55 @@
 		}
 	})
 }
+
+// TestFairInAFlood replays grown ccl-routage scale-1, where one workspace's 650
+// requests a second reach one router of 0.19 cores at once. A request costs the
+// processor little when it is taken and most while its stream lasts, so a limit
+// that rises until the router wakes late takes far too many. In each second of the
+// flood the router must begin half of what it can work off: a workspace is owed
+// half of its share.
+func TestFairInAFlood(t *testing.T) {
+	c := qt.New(t)
+	const (
+		share     = 0.192
+		calm      = 30.0    // requests a second before the flood
+		flood     = 650.0   // and in it
+		floodAt   = 5.0     // seconds
+		wait      = 0.5     // seconds until a request's first event
+		lasting   = 4.0     // seconds of its stream
+		perSecond = 0.00095 // cores that a stream takes
+		base      = 0.04    // cores for everything else
+		room      = (share - base) / perSecond / lasting
+	)
+	var waiting []float64 // when each first event comes
+	streams := 0.0
+	active := func() int64 { return int64(streams) + int64(len(waiting)) }
+	p := newPressure(platform.Resource{MemoryMB: 184, MaxDescriptors: 4100, CPUShare: share}, active)
+	step := lagStep.Seconds()
+	due, began := 0.0, map[int]int{}
+	for at := 0.0; at < 20; at += step {
+		rate := calm
+		if at >= floodAt {
+			rate = flood
+		}
+		for due += rate * step; due >= 1; due-- {
+			if p.busy(cataloger.WorkStream, active()+1) == "" {
+				waiting = append(waiting, at+wait)
+				began[int(at)]++
+			}
+		}
+		for len(waiting) > 0 && waiting[0] <= at {
+			waiting, streams = waiting[1:], streams+1
+		}
+		use := (base + streams*perSecond) / share
+		streams -= streams / lasting * step / max(1, use)
+		late := 0.0
+		if use > 1 {
+			late = 0.03 * min(use, 3)
+		}
+		p.note(time.Duration(late * float64(time.Second)))
+	}
+	for s := int(floodAt) + 1; s < 20; s++ {
+		c.Check(float64(began[s]) >= room/2, qt.IsTrue, qt.Commentf("second %d: %d of %.0f", s, began[s], room))
+	}
+}
