What a router serves at the same time follows from its share of a core

Cause: the limit of requests at the same time rose to what the memory allows while the processor was calm; 650 requests a second then got in before the router woke late, three times what it can work off. Now the limit ends at 800 requests for a whole core.

--- a/internal/conductor/pressure.go
+++ b/internal/conductor/pressure.go
@@ -29,10 +29,13 @@
 	// reportEvery is the period of log lines while requests are turned away.
 	reportEvery = time.Second
 	// minRequests are always served at the same time, and for a whole core
-	// requestsPerCore: a stream takes about a thousandth of a core (49 µs an event,
-	// 15 events a second), and turning others away must leave a third of it.
-	minRequests     = 8
-	requestsPerCore = 300
+	// leastPerCore: a stream takes about a thousandth of a core (49 µs an event, 15
+	// events a second), and turning others away must leave a third of it.
+	minRequests  = 8
+	leastPerCore = 300
+	// mostPerCore is the most that a whole core serves at the same time, as a fifth
+	// of it goes to refusals and to the other routers.
+	mostPerCore = 800
 	// connectionsPer is the number of caller connections that a slow router keeps
 	// for each request it serves, and minConnections what it always keeps: most
 	// callers keep a connection for one request at a time.
@@ -71,6 +74,10 @@
 	// descriptors.
 	maxRequests    int64
 	maxConnections int64
+	// most is the limit while the router keeps up. It follows from the share of a
+	// core, too: streams cost the processor most after they were taken, and once the
+	// router wakes late it has taken too many.
+	most int64
 	// active counts the requests being served.
 	active func() int64
 
@@ -101,8 +108,12 @@
 		maxConnections: int64(connections),
 		active:         active,
 	}
-	p.least = min(p.maxRequests, max(minRequests, int64(r.CPUShare*requestsPerCore)))
-	p.limit.Store(p.maxRequests)
+	p.least = min(p.maxRequests, max(minRequests, int64(r.CPUShare*leastPerCore)))
+	p.most = p.maxRequests
+	if r.CPUShare > 0 {
+		p.most = min(p.maxRequests, max(p.least, int64(r.CPUShare*mostPerCore)))
+	}
+	p.limit.Store(p.most)
 	return p
 }
 
@@ -120,7 +131,7 @@
 		case <-t.C:
 			p.note(time.Since(began) - lagStep)
 			if time.Since(reported) > reportEvery {
-				if refused := p.refused.Load(); p.limit.Load() < p.maxRequests || refused > reportedRefused {
+				if refused := p.refused.Load(); p.limit.Load() < p.most || refused > reportedRefused {
 					reported, reportedRefused = time.Now(), refused
 					p.report()
 				}
@@ -142,7 +153,7 @@
 	} else {
 		limit += max(1, limit*speedUp)
 	}
-	p.limit.Store(min(max(int64(limit), p.least), p.maxRequests))
+	p.limit.Store(min(max(int64(limit), p.least), p.most))
 }
 
 // busy says why a request cannot be taken, or nothing.
@@ -178,7 +189,7 @@
 	switch {
 	case open >= p.maxConnections:
 		return false
-	case limit >= p.maxRequests || open < connectionsPer*limit+minConnections:
+	case limit >= p.most || open < connectionsPer*limit+minConnections:
 		return true
 	case now.Sub(p.tookAt) < takeEvery:
 		return false
--- a/internal/conductor/turnaway.go
+++ b/internal/conductor/turnaway.go
@@ -128,7 +128,7 @@
 		return h
 	}
 	reason := "router-slow"
-	if n.pressure.limit.Load() >= n.pressure.maxRequests {
+	if n.pressure.limit.Load() >= n.pressure.most {
 		reason = "router-full"
 	}
 	n.log("request", "request", e.ID, "outcome", "refused", "status", http.StatusServiceUnavailable, "reason", reason,
