Turning connections away takes a third of the processor at most

A router that had taken all that it can serve went on answering 1,100 to 1,800 connections a second, and the streams that it had taken hardly moved: 376, 350, 341 left in three seconds, none begun. What was just accepted runs before what the network poller reports, so without a pace refusals go first. The pace follows from the share of a core.

--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -60,6 +60,7 @@
 		return failer.Wrap("listen", KindListen, err)
 	}
 	bounded := bound(callers, n.pressure.takes, n.turnedAway, func() { n.meter.count("caller-connections-closed") })
+	bounded.pace = turnPace(n.settings.Limits.CPUShare)
 	n.pressure.report = func() { n.reportPressure(bounded.open.Load()) }
 	var ctx context.Context
 	ctx, n.cancel = context.WithCancel(context.Background())
--- a/internal/conductor/pressure_test.go
+++ b/internal/conductor/pressure_test.go
@@ -237,3 +237,37 @@
 		c.Check(float64(began[s]) >= room/2, qt.IsTrue, qt.Commentf("second %d: %d of %.0f", s, began[s], room))
 	}
 }
+
+// TestTurningAwayLeavesTheProcessor replays grown ccl-routage scale-1 after the
+// router had taken all that it can serve: callers of one workspace went on
+// connecting, 1,800 times a second, and answering them took the whole processor.
+// However many come, two thirds of it are for the requests that were taken.
+func TestTurningAwayLeavesTheProcessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			share   = 0.192
+			callers = 5000
+		)
+		in := &pipes{}
+		for range callers {
+			here, there := net.Pipe()
+			in.conns = append(in.conns, here)
+			go func() {
+				_, _ = io.WriteString(there, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+				_, _ = http.ReadResponse(bufio.NewReader(there), nil)
+				there.Close()
+			}()
+		}
+		l := bound(in, func(time.Time, int64) bool { return false }, func(*http.Request) http.Header { return nil }, func() {})
+		l.pace = turnPace(share)
+		began := time.Now()
+		if _, err := l.Accept(); err != net.ErrClosed {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		took := time.Since(began)
+		if used := callers * turnCost.Seconds() / took.Seconds(); used > 1.05*share/3 {
+			t.Fatalf("%d callers in %v: %.3f cores of %.3f", callers, took, used, share)
+		}
+	})
+}
--- a/internal/conductor/turnaway.go
+++ b/internal/conductor/turnaway.go
@@ -11,16 +11,23 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"papayapaddle/internal/linker"
 	"papayapaddle/internal/relayer"
 )
 
 const (
 	// maxTurning is the number of connections that are turned away at the same time,
-	// which bounds their memory to 0.5 MB of buffers. There is no pace beyond that: at
-	// 165 a second callers waited 11 s in the system's queue, and had left when their
-	// requests were read.
+	// which bounds their memory to 0.5 MB of buffers.
 	maxTurning = 32
+	// turnCost is the processor time for turning one connection away, 0.05 to 0.1 ms
+	// in the pressure lines of flooded routers. turnShare is the part of the
+	// processor that it may take; the rest is for the requests that were taken.
+	turnCost  = 80 * time.Microsecond
+	turnShare = 1.0 / 3
+	// turnBurst is the time for which more connections may be turned away at once.
+	turnBurst = 100 * time.Millisecond
 	// maxQueue is the number of connections that may wait in the system's queue. Half a
 	// second of what a small router turns away; callers wait a second for one.
 	maxQueue = 128
@@ -43,6 +50,10 @@
 	refuse func(req *http.Request) http.Header
 	// closed is told of each connection that was closed unread.
 	closed func()
+	// pace bounds how many are turned away a second; nil does not. The scheduler runs
+	// what was just accepted before streams whose events have arrived, so callers who
+	// keep coming would stop all of them.
+	pace *rate.Limiter
 
 	open    atomic.Int64
 	turning chan struct{}
@@ -53,6 +64,16 @@
 	return &boundedListener{Listener: ln, takes: takes, refuse: refuse, closed: closed, turning: make(chan struct{}, maxTurning)}
 }
 
+// turnPace returns the pace of turning connections away for a share of a core, in
+// cores; 0 means that it is unknown, and the pace unbounded.
+func turnPace(cpuShare float64) *rate.Limiter {
+	if cpuShare <= 0 {
+		return nil
+	}
+	perSecond := cpuShare * turnShare / turnCost.Seconds()
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*turnBurst.Seconds())))
+}
+
 // Accept returns the next connection within the bound.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
@@ -72,6 +93,9 @@
 		}
 		l.open.Add(-1)
 		l.turning <- struct{}{}
+		if l.pace != nil {
+			time.Sleep(l.pace.Reserve().Delay())
+		}
 		go l.turnAway(c)
 	}
 }
