A flooded router is not ready while its neighbours have room

All tries of a workspace's only caller in a zone reach one router, and the other 25 stay idle: nothing tells the balancer. A router that refused in most looks of the last second now fails its readiness check for at least 5 s, unless over a quarter of its zone is crowded, as routers tell each other with their news. Once the balancer must have noticed, refusals close the connection, so that callers come back elsewhere.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -101,6 +101,8 @@
 	meter     *meter
 	pressure  *pressure
 	refusals  refusalLog
+	// backpressure tells the balancer of the pressure.
+	backpressure backpressure
 
 	peers     net.Listener
 	callers   *http.Server
@@ -228,6 +230,7 @@
 		Repeat:  func(service string) bool { return b.Repeat(time.Now(), service) },
 		Closing: n.closing,
 		Busy:    n.pressure.busy,
+		Away:    func() bool { return n.backpressure.left(time.Now()) },
 		Buffer:  &relayer.Budget{Bytes: int64(float64(n.settings.Limits.MemoryMB<<20) * bodyShare)},
 		Log:     n.log, LogRefusal: n.refusals.allow, Observe: n.meter.observe,
 	}
--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -60,6 +60,7 @@
 		return failer.Wrap("listen", KindListen, err)
 	}
 	bounded := bound(callers, n.pressure.takes, n.turnedAway, func() { n.meter.count("caller-connections-closed") })
+	n.pressure.looked = n.onLook
 	bounded.pace = turnPace(n.settings.Limits.CPUShare)
 	n.pressure.report = func() { n.reportPressure(bounded.open.Load()) }
 	var ctx context.Context
@@ -121,6 +122,8 @@
 		return "servers not read yet"
 	case !proven || age > n.relayer.MaxAge:
 		return "configuration cannot be proven current"
+	case n.backpressure.away():
+		return "more requests than it can serve"
 	}
 	return ""
 }
--- a/internal/conductor/news.go
+++ b/internal/conductor/news.go
@@ -155,7 +155,7 @@
 	}
 	out := messenger.News{
 		ServersChanged: changed, ServersAgo: serversAge,
-		From: n.self, Leaving: n.isClosing(), ProvenAgo: -1, Loads: loads, Grants: grants, GrantsSeen: seen,
+		From: n.self, Leaving: n.isClosing(), Crowded: n.backpressure.busy(), ProvenAgo: -1, Loads: loads, Grants: grants, GrantsSeen: seen,
 		Known: sample(n.roster.Reachable(), maxKnown), Contact: n.watcher.Contact(),
 	}
 	// The version comes after the age: what an older proof says of a version holds
@@ -189,6 +189,7 @@
 	if regained {
 		n.log("router-heard", "peer", in.From.Name, "address", in.From.Address, "zone", in.From.AvailabilityZone, "replaced", replaced)
 	}
+	n.roster.Crowd(in.From.Name, in.Crowded)
 	n.roster.Add(in.Known...)
 	n.allocator.Hear(in.From.Name, in.Loads, in.Grants)
 	n.roster.Tells(in.From.Name, in.GrantsSeen)
--- a/internal/conductor/pressure.go
+++ b/internal/conductor/pressure.go
@@ -86,6 +86,8 @@
 	tookAt time.Time
 	// report is told each reportEvery while requests are turned away, or may be.
 	report func()
+	// looked is told at each look whether requests were refused since the last one.
+	looked func(now time.Time, refused bool)
 
 	lag atomic.Int64
 	// taken and refused count the requests that busy was asked about.
@@ -122,7 +124,7 @@
 	t := time.NewTimer(lagStep)
 	defer t.Stop()
 	var reported time.Time
-	var reportedRefused int64
+	var reportedRefused, lookedRefused int64
 	for {
 		began := time.Now()
 		select {
@@ -130,8 +132,11 @@
 			return
 		case <-t.C:
 			p.note(time.Since(began) - lagStep)
+			refused := p.refused.Load()
+			p.looked(time.Now(), refused > lookedRefused)
+			lookedRefused = refused
 			if time.Since(reported) > reportEvery {
-				if refused := p.refused.Load(); p.limit.Load() < p.most || refused > reportedRefused {
+				if p.limit.Load() < p.most || refused > reportedRefused {
 					reported, reportedRefused = time.Now(), refused
 					p.report()
 				}
--- a/internal/conductor/turnaway.go
+++ b/internal/conductor/turnaway.go
@@ -148,6 +148,7 @@
 	e, err := n.relayer.Codec.DecodeRequest(req.Header)
 	n.relayer.Codec.EncodeRefusal(h, e.ID, relayer.RetryElsewhere)
 	n.meter.count("caller-connections-turned-away")
+	n.pressure.refused.Add(1)
 	if !n.refusals.allow() {
 		return h
 	}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -20,6 +20,8 @@
 	From Peer
 	// Leaving says that the router is shutting down and owns nothing any more.
 	Leaving bool
+	// Crowded says that more requests reach the router than it can serve.
+	Crowded bool
 	// Version is the configuration in force, and ProvenAgo how long ago the
 	// question was asked whose answer proved it to be the newest; negative if it
 	// never was.
--- a/internal/messenger/roster.go
+++ b/internal/messenger/roster.go
@@ -45,6 +45,7 @@
 	heardAt time.Duration
 	heard   bool
 	leaving bool
+	crowded bool
 	// triedAt is when news were last asked for.
 	triedAt time.Duration
 	// addedAt is when it was first heard of.
@@ -111,6 +112,33 @@
 	return replaced, regained
 }
 
+// Crowd notes whether more requests reach a router than it can serve.
+func (r *Roster) Crowd(name string, crowded bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.peers[name]; m != nil {
+		m.crowded = crowded
+	}
+}
+
+// Crowded returns how many of the other reachable routers of this one's zone are
+// crowded, and how many routers the zone has, this one included.
+func (r *Roster) Crowded() (crowded, size int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	size = 1
+	for _, m := range r.peers {
+		if m.AvailabilityZone != r.Self.AvailabilityZone || !r.reachable(m) {
+			continue
+		}
+		size++
+		if m.crowded {
+			crowded++
+		}
+	}
+	return crowded, size
+}
+
 // Tells notes up to which number a router has this one's grants.
 func (r *Roster) Tells(name string, number uint64) {
 	r.mu.Lock()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -41,6 +41,9 @@
 	// Busy says why the router itself cannot take a request while so many are
 	// served, or nothing.
 	Busy func(work cataloger.Work, active int64) string
+	// Away says that callers who open a new connection reach other routers; nil says
+	// that they may not.
+	Away func() bool
 	// Buffer reserves memory for a body; false means that there is none left.
 	Buffer *Budget
 	Log    func(event string, keyvals ...any)
@@ -263,8 +266,11 @@
 		return false
 	}
 	if why := x.Busy(x.call.Route.Work, x.active.Load()); why != "" {
-		// The next try reaches another router. The connection stays: opening a new one
-		// costs a router that cannot keep up more than this refusal.
+		// The next try reaches another router. The connection stays while a new one would
+		// come back to this router: opening one costs more than this refusal.
+		if x.Away != nil && x.Away() {
+			x.w.Header().Set("Connection", "close")
+		}
 		x.busy = true
 		x.refuse(why, RetryElsewhere)
 		return false
