Requests are written from kept buffers; benchmarks of a stream and of refusals

A prompt of 12 KB was copied twice into new memory on its way to a server, and a connection that is turned away took a new 16 KB buffer.

--- /dev/null
+++ b/internal/conductor/benchmark_test.go
@@ -0,0 +1,95 @@
+package conductor
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/platform/standin"
+)
+
+// benchBody is about the body of a long prompt.
+var benchBody = strings.Repeat("x", 12<<10)
+
+// benchRequest writes a request for a stream of so many events.
+func benchRequest(id, events int) string {
+	return fmt.Sprintf("POST %sy HTTP/1.1\r\nHost: %s\r\nRequest-Id: id-%d\r\nApi-Key: %s\r\nDeadline-Ms: 15000\r\nModel: m\r\n"+
+		"Token-Usage: 100,%d\r\nLength-Hint: %d\r\nPrompt-Prefix: aa:50,%x:50\r\nContent-Length: %d\r\n\r\n%s",
+		standin.ModelPrefix, standin.Host, id, standin.Key, 10*events, 10*events, id, len(benchBody), benchBody)
+}
+
+// benchExchange sends a request and reads the whole answer.
+func benchExchange(b *testing.B, c net.Conn, br *bufio.Reader, request string, status int) {
+	if _, err := io.WriteString(c, request); err != nil {
+		b.Fatal(err)
+	}
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		b.Fatal(err)
+	}
+	if resp.StatusCode != status {
+		b.Fatalf("status %d, want %d", resp.StatusCode, status)
+	}
+}
+
+// benchRouter starts one router, and returns it and its address for callers.
+func benchRouter(b *testing.B) (*node, string) {
+	f := newFleet(qt.New(b), "a")
+	return f.routers["a"].node, f.at["a"].Listen.Callers
+}
+
+// BenchmarkStream measures a stream of 64 events through the whole router; caller
+// and server run in the same process and are counted.
+func BenchmarkStream(b *testing.B) {
+	_, address := benchRouter(b)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	br := bufio.NewReader(c)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		benchExchange(b, c, br, benchRequest(i, 64), http.StatusOK)
+	}
+}
+
+// BenchmarkRefusal measures the refusal of a request on a kept connection.
+func BenchmarkRefusal(b *testing.B) {
+	n, address := benchRouter(b)
+	n.pressure.maxRequests = -1
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	br := bufio.NewReader(c)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		benchExchange(b, c, br, benchRequest(i, 64), http.StatusServiceUnavailable)
+	}
+}
+
+// BenchmarkTurnAway measures the refusal of a request on a new connection.
+func BenchmarkTurnAway(b *testing.B) {
+	n, address := benchRouter(b)
+	n.pressure.maxConnections = 0
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		benchExchange(b, c, bufio.NewReader(c), benchRequest(i, 64), http.StatusServiceUnavailable)
+		c.Close()
+	}
+}
--- a/internal/conductor/turnaway.go
+++ b/internal/conductor/turnaway.go
@@ -100,6 +100,9 @@
 	}
 }
 
+// turnBuffers keeps the buffers of connections that are turned away.
+var turnBuffers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, turnBuffer) }}
+
 // turnAway reads one request and refuses it.
 func (l *boundedListener) turnAway(c net.Conn) {
 	defer func() {
@@ -108,7 +111,13 @@
 	}()
 	// A connection without deadlines, as in tests, is closed by the other side.
 	_ = c.SetDeadline(time.Now().Add(turnTimeout))
-	req, err := http.ReadRequest(bufio.NewReaderSize(io.LimitReader(c, turnBytes), turnBuffer))
+	br := turnBuffers.Get().(*bufio.Reader)
+	br.Reset(io.LimitReader(c, turnBytes))
+	defer func() {
+		br.Reset(nil)
+		turnBuffers.Put(br)
+	}()
+	req, err := http.ReadRequest(br)
 	if err != nil {
 		l.closed()
 		return
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -57,6 +58,9 @@
 	maxStrays = 2
 	// maxStrayBytes bounds an answer to another request.
 	maxStrayBytes = 64 << 10
+	// maxKeptBuffer is the largest buffer that is kept for another request; few
+	// prompts are longer.
+	maxKeptBuffer = 64 << 10
 	// maxHeaderBytes bounds the header of an answer.
 	maxHeaderBytes = 64 << 10
 )
@@ -314,25 +318,42 @@
 
 // write sends the request in one piece, so that a small one is one packet.
 func (c *conn) write(r *Request) error {
-	var b strings.Builder
-	b.Grow(512 + len(r.Body))
-	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	b := outgoing.Get().(*bytes.Buffer)
+	defer func() {
+		if b.Cap() <= maxKeptBuffer {
+			b.Reset()
+			outgoing.Put(b)
+		}
+	}()
+	for _, s := range []string{r.Method, " ", r.Target, " HTTP/1.1\r\nHost: ", r.Host, "\r\n"} {
+		b.WriteString(s)
+	}
 	for k, vs := range r.Header {
 		for _, v := range vs {
-			b.WriteString(k + ": " + v + "\r\n")
+			writeHeader(b, k, v)
 		}
 	}
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+		writeHeader(b, "Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	b.WriteString("\r\n")
 	b.Write(r.Body)
-	n, err := io.WriteString(c.Conn, b.String())
+	n, err := c.Conn.Write(b.Bytes())
 	// A write that fails at once may still have put bytes on the wire.
 	c.wrote = n > 0 || err == nil
 	return err
 }
 
+// outgoing keeps the buffers in which requests are written.
+var outgoing = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+func writeHeader(b *bytes.Buffer, name, value string) {
+	b.WriteString(name)
+	b.WriteString(": ")
+	b.WriteString(value)
+	b.WriteString("\r\n")
+}
+
 // head reads the head of one answer, over informational ones.
 func (c *conn) head(r *Request) (*http.Response, error) {
 	for {
