Bytes without an end from a server end with the connection

A server that sends informational answers without end kept a request until its deadline, and a head without end was told as a lost answer.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -56,6 +56,9 @@
 	// maxStrays is the number of answers to other requests that are read over
 	// before a connection is given up.
 	maxStrays = 2
+	// maxInformational is the number of informational answers that are read over before
+	// a connection is given up; servers send one or two.
+	maxInformational = 16
 	// maxStrayBytes bounds an answer to another request.
 	maxStrayBytes = 64 << 10
 	// maxKeptBuffer is the largest buffer that is kept for another request; few
@@ -356,11 +359,15 @@
 
 // head reads the head of one answer, over informational ones.
 func (c *conn) head(r *Request) (*http.Response, error) {
-	for {
+	for range maxInformational + 1 {
 		c.limit.N = maxHeaderBytes
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+		tooLong := c.limit.N <= 0
 		c.limit.N = 1 << 62
 		if err != nil {
+			if tooLong {
+				return nil, errors.Join(errGarbled, errors.New("head without an end"), err)
+			}
 			var ne net.Error
 			if errors.As(err, &ne) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 				return nil, err
@@ -374,6 +381,7 @@
 			return resp, nil
 		}
 	}
+	return nil, errors.Join(errGarbled, errors.New("informational answers without an end"))
 }
 
 func (c *conn) answer(resp *http.Response) *Answer {
--- /dev/null
+++ b/internal/sender/sender_test.go
@@ -0,0 +1,53 @@
+package sender
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/internal/failer"
+)
+
+// TestBytesWithoutEnd sends what is no answer until the router closes the
+// connection; the router must do so by itself.
+func TestBytesWithoutEnd(t *testing.T) {
+	for name, script := range map[string]struct{ first, again string }{
+		"informational answers":      {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"header lines":               {"HTTP/1.1 200 OK\r\n", "X-More: of this\r\n"},
+		"a header line":              {"HTTP/1.1 200 OK\r\nX-Long: ", "and longer "},
+		"a status line":              {"HTTP/1.1 200 ", "O"},
+		"no protocol":                {"", "\x00\xff garbage "},
+		"an answer to another":       {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 99999999999\r\n\r\n", "stray "},
+		"many answers to another":    {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n"},
+		"an answer without a length": {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nstray\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			here, there := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, there) }()
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_, err := io.WriteString(there, script.first)
+				for block := strings.Repeat(script.again, 100); err == nil; {
+					_, err = io.WriteString(there, block)
+				}
+			}()
+			s := &Sender{Dial: func(context.Context, string, string) (net.Conn, error) { return here, nil }}
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			_, err := s.Send(ctx, &Request{
+				Method: "GET", Target: "/", Host: "h", Mine: func(h http.Header) bool { return h.Get("Id") == "mine" },
+			})
+			c.Assert(failer.KindOf[Kind](err), qt.Equals, KindGarbled, qt.Commentf("%v", err))
+			c.Assert(ctx.Err(), qt.IsNil, qt.Commentf("ended by the deadline"))
+			<-ended
+		})
+	}
+}
