A stream whose event came in time is not given up as silent

Its first event came 14 ms before the stream counted as silent; on the flooded router the timer's function ran after it and cancelled the stream all the same, and the next server refused it. The function now looks at the deadline, which every event moves.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -66,9 +66,6 @@
 	// garbage harder, bodyShare the part that bodies may take.
 	memoryShare = 0.75
 	bodyShare   = 0.25
-	// gcPercent is how much garbage may come before it is collected: memory is
-	// dearer than processor time on these instances.
-	gcPercent = 50
 	// fadeShare is the span over which past grants are forgotten, as a part of
 	// the window in which shares are judged.
 	fadeShare = 0.5
@@ -101,6 +98,7 @@
 	meter     *meter
 	pressure  *pressure
 	refusals  refusalLog
+	collector *collector
 	// backpressure tells the balancer of the pressure.
 	backpressure backpressure
 
@@ -165,7 +163,7 @@
 	n.logger = log.With(log.NewLogfmtLogger(rec), "router", s.Name)
 	n.pressure = newPressure(s.Limits, func() int64 { return n.relayer.Active() })
 	n.roster = messenger.NewRoster(n.self, peerSilence, timer.Boot)
-	debug.SetGCPercent(gcPercent)
+	n.collector = newCollector()
 	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMB<<20) * memoryShare))
 	return n
 }
--- a/internal/conductor/pressure_test.go
+++ b/internal/conductor/pressure_test.go
@@ -271,3 +271,15 @@
 		}
 	})
 }
+
+// TestCollectorFollowsThePressure checks that the runtime is told once of each
+// change.
+func TestCollectorFollowsThePressure(t *testing.T) {
+	c := qt.New(t)
+	var set []int
+	g := &collector{set: func(percent int) { set = append(set, percent) }}
+	for _, busy := range []bool{false, true, true, true, false, false} {
+		g.note(busy)
+	}
+	c.Assert(set, qt.DeepEquals, []int{busyGCPercent, calmGCPercent})
+}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -79,10 +79,10 @@
 	x := f.x
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	var watch *time.Timer
+	var watch *watchdog
 	if x.call.Route.Resumable {
-		watch = time.AfterFunc(f.silence(), func() { cancel(errSilent) })
-		defer watch.Stop()
+		watch = newWatchdog(f.silence(), func() { cancel(errSilent) })
+		defer watch.stop()
 	}
 	// A caller who leaves says nothing of the server, unless it was silent for
 	// longer than a sound one is.
@@ -161,7 +161,7 @@
 
 // relay passes events on, each as soon as it is whole. Nothing of a broken one
 // is passed on, so that the stream can be taken up after the last whole one.
-func (f *flow) relay(a *sender.Answer, p *Place, watch *time.Timer) *lost {
+func (f *flow) relay(a *sender.Answer, p *Place, watch *watchdog) *lost {
 	x := f.x
 	br := bufio.NewReaderSize(a.Body, 4<<10)
 	var event []byte
@@ -186,7 +186,7 @@
 			continue
 		}
 		if watch != nil {
-			watch.Reset(f.silence())
+			watch.extend(f.silence())
 		}
 		if !began {
 			began = true
--- /dev/null
+++ b/internal/relayer/watchdog.go
@@ -0,0 +1,48 @@
+package relayer
+
+import (
+	"sync"
+	"time"
+)
+
+// watchdog expires once, at a deadline that can be extended until then.
+type watchdog struct {
+	expire func()
+
+	mu       sync.Mutex
+	deadline time.Time
+	timer    *time.Timer
+}
+
+// newWatchdog starts a watchdog that expires after a time.
+func newWatchdog(after time.Duration, expire func()) *watchdog {
+	w := &watchdog{expire: expire}
+	w.extend(after)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(after, w.fire)
+	return w
+}
+
+// extend moves the deadline to a time from now.
+func (w *watchdog) extend(by time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deadline = time.Now().Add(by)
+}
+
+// fire looks at the deadline, as it may have been extended since the timer was
+// set, and on a busy router also after it went off.
+func (w *watchdog) fire() {
+	w.mu.Lock()
+	left := time.Until(w.deadline)
+	if left > 0 {
+		w.timer.Reset(left)
+	}
+	w.mu.Unlock()
+	if left <= 0 {
+		w.expire()
+	}
+}
+
+func (w *watchdog) stop() { w.timer.Stop() }
