A stream that was cut goes first at the owners of other servers

Callers of a running stream whose server failed got it cut, because their workspace had been granted more than others lately. Refusing it wastes what was done. The router that passed on its beginning now says so, and the owner takes it before what has not begun; what callers claim to have does not count.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -4,8 +4,8 @@
 // Engines admit in order of arrival and know no urgency, so a queue inside an
 // engine makes everything in it late. The owner of a server therefore hands
 // over only what the engine is about to read, and keeps the rest in its own
-// order: requests that can still be in time before those whose callers were
-// refused and are back; then the workspaces that were granted least lately across
+// order: streams that another server cut; requests that can still be in time before
+// those whose callers were refused and are back; then the workspaces that were granted least lately across
 // the fleet; then what needs least reading; then what is wanted soonest. What
 // cannot begin in time any more is refused at once. docs/DESIGN.md has the load
 // that each rule answers, and the figures behind the constants.
@@ -117,7 +117,7 @@
 		return
 	}
 	e.askedAt = now
-	k.returned = e.wasRefused(now, k)
+	k.returned = !k.Resumed && e.wasRefused(now, k)
 	e.queue = append(e.queue, k)
 	a.schedule(now, e)
 }
@@ -250,8 +250,8 @@
 	return 0
 }
 
-// sort orders the queue: those first that can still be in time, then by the
-// workspaces' usage in steps, then by how long they are in steps, then by when
+// sort orders the queue: streams that were cut first, as refusing one wastes what
+// was done of it, then those that can still be in time, then by the workspaces' usage in steps, then by how long they are in steps, then by when
 // the first event is wanted.
 func (a *Admitter) sort(now time.Time, e *engine) {
 	steps := map[string]int{}
@@ -264,6 +264,7 @@
 	}
 	slices.SortStableFunc(e.queue, func(x, y *Ask) int {
 		return cmp.Or(
+			cmp.Compare(rank(!x.Resumed), rank(!y.Resumed)),
 			cmp.Compare(rank(x.returned), rank(y.returned)),
 			cmp.Compare(steps[x.Workspace], steps[y.Workspace]),
 			cmp.Compare(length[x], length[y]),
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -75,6 +75,7 @@
 		Router: router, ID: b.id(name), Workspace: workspace, Engine: Engine{ID: "e", Slots: slots, MemoryTokens: 100_000},
 		Prompt: prompt, Answer: answer, Parts: Chain("m", names, tokens), Arrived: b.now,
 		FirstBy: b.now.Add(time.Duration(objective) * time.Millisecond), Deadline: b.now.Add(15 * time.Second),
+		Resumed: d.HasArg("resumed"),
 	})
 }
 
--- a/internal/admitter/ask.go
+++ b/internal/admitter/ask.go
@@ -26,6 +26,8 @@
 	FirstBy  time.Time
 	Deadline time.Time
 	Arrived  time.Time
+	// Resumed says that the caller has the beginning of the answer.
+	Resumed bool
 
 	// returned says that the same request was refused before.
 	returned bool
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -43,7 +43,9 @@
 	Arrived   time.Time
 	FirstBy   time.Time
 	Deadline  time.Time
-	Exclude   []string
+	// Resumed says that the caller has the beginning of the answer.
+	Resumed bool
+	Exclude []string
 }
 
 // Place is a granted place.
@@ -192,6 +194,7 @@
 			Router: a.Self.Name, ID: rand.Uint64(), Workspace: n.Workspace,
 			Engine: admitter.Engine{ID: s.ID, Slots: n.Service.Engine.Slots, MemoryTokens: n.Service.Engine.MemoryTokens},
 			Prompt: n.Prompt, Parts: n.Parts, Answer: n.Answer, FirstBy: n.FirstBy, Deadline: n.Deadline, Arrived: n.Arrived,
+			Resumed: n.Resumed,
 		}
 		r, owner, err := a.ask(ctx, ask, s.AvailabilityZone)
 		asks++
--- a/internal/conductor/place.go
+++ b/internal/conductor/place.go
@@ -13,6 +13,10 @@
 const (
 	// guessedAnswer is the length of an answer in tokens that no one estimated.
 	guessedAnswer = 200
+	// resumePatience is how long a stream that was cut waits for its next event. Callers
+	// give up after two seconds, of which one may have gone by until the silence was
+	// noticed.
+	resumePatience = time.Second
 	// retryNoServer is told when a service has no server that may get work.
 	retryNoServer = time.Second
 )
@@ -99,12 +103,16 @@
 		Prompt: c.PromptTokens, Parts: admitter.Chain(c.Model, names, tokens), Answer: answer,
 		Steer:   steerer.Prompt{Home: home, Shared: shared},
 		Arrived: c.Arrived, FirstBy: firstBy(c, time.Now()), Deadline: c.Deadline, Exclude: c.Exclude,
+		Resumed: c.Resumed,
 	}
 }
 
 // firstBy returns by when the first event is wanted. One that was tried before
 // may be late already; it still waits as long as half of a new one.
 func firstBy(c *relayer.Call, now time.Time) time.Time {
+	if c.Resumed {
+		return now.Add(resumePatience)
+	}
 	at := c.Arrived.Add(c.Route.Objective)
 	if again := now.Add(c.Route.Objective / 2); at.Before(again) {
 		return again
--- a/internal/relayer/envelope.go
+++ b/internal/relayer/envelope.go
@@ -73,6 +73,8 @@
 	Deadline  time.Time
 	// Exclude names the servers that were tried already.
 	Exclude []string
+	// Resumed says that this router passed on the beginning of the answer.
+	Resumed bool
 }
 
 // Place is the right to run a call on a server.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -70,6 +70,8 @@
 			x.conclude(ctx, l)
 			return
 		}
+		// What a caller says that it has does not count: any could go first that way.
+		x.call.Resumed = f.events > 0
 	}
 }
 
