Routers of a large fleet do not all ask the store at once

With 90 routers only the first two by name had an order; all others asked the store when their proof was 1.2 s old. When it had dropped its history and the first two got no answer in time, 88 asked within 30 ms, read everything again, and paid for it. The age at which they ask is now spread over 0.8 s by their order, so that the first answers reach the others before they ask.

--- a/internal/conductor/news.go
+++ b/internal/conductor/news.go
@@ -27,10 +27,12 @@
 	// askFirst is the age of a proof from which the first router asks the store,
 	// askStep what each further one waits longer, askMost the most. One answer
 	// reaches all routers within two periods of news; where these are long, the
-	// steps are too.
-	askFirst = 300 * time.Millisecond
-	askStep  = 150 * time.Millisecond
-	askMost  = 1200 * time.Millisecond
+	// steps are too. askSpread is the time over which the routers of a large fleet
+	// ask if the first ones get no answer.
+	askFirst  = 300 * time.Millisecond
+	askStep   = 150 * time.Millisecond
+	askMost   = 1200 * time.Millisecond
+	askSpread = 800 * time.Millisecond
 	// unprovenAfter is the age of the proof from which peers are asked for theirs.
 	unprovenAfter = 1500 * time.Millisecond
 )
@@ -139,11 +141,14 @@
 	return n.news(in.From.Name)
 }
 
-// askAfter returns the age of a proof from which this router asks the store. The
-// routers' order by name decides who asks first.
-func (n *node) askAfter() time.Duration {
-	step := max(askStep, n.period()/2)
-	return min(askFirst+time.Duration(n.rank())*step, askMost)
+// askAfter returns the age of a proof from which this router asks the store.
+func (n *node) askAfter() time.Duration { return askAfter(n.rank(), n.roster.Size(), n.period()) }
+
+// askAfter is the same for a router's place by name among the others, which decides
+// who asks first.
+func askAfter(rank, size int, period time.Duration) time.Duration {
+	most := askMost + askSpread*time.Duration(rank)/time.Duration(max(1, size))
+	return min(askFirst+time.Duration(rank)*max(askStep, period/2), most)
 }
 
 // news returns what the peer is told.
--- /dev/null
+++ b/internal/conductor/news_test.go
@@ -0,0 +1,32 @@
+package conductor
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestStoreIsNotAskedByAllAtOnce replays grown ccl-routage scale-1 at 11.9 s: the
+// first two of 90 routers had no proof for over a second, as the store had dropped
+// its history, and all others asked it within 30 ms.
+func TestStoreIsNotAskedByAllAtOnce(t *testing.T) {
+	c := qt.New(t)
+	for _, size := range []int{6, 30, 90} {
+		period := max(newsPeriod, time.Duration(size)*time.Second/(2*newsRate))
+		var asked []time.Duration
+		for rank := range size {
+			asked = append(asked, askAfter(rank, size, period))
+		}
+		for i, from := range asked {
+			n := 0
+			for _, at := range asked[i:] {
+				if at < from+100*time.Millisecond {
+					n++
+				}
+			}
+			c.Check(n <= max(1, size/6), qt.IsTrue, qt.Commentf("%d of %d routers ask within 100 ms from %v", n, size, from))
+		}
+		c.Check(asked[size-1] <= 2*time.Second, qt.IsTrue, qt.Commentf("a change is in force within three seconds, the answer included"))
+	}
+}
