--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Every task of the project has a target here.
-.PHONY: test format vet lint unit build demo bench fuzz
+.PHONY: test format vet lint unit build demo bench soak
 
 # RAPID_SEED fixes the random seeds of the property tests, so that every run gives the same verdict.
 RAPID_SEED ?= 20261204
@@ -29,3 +29,12 @@
 
 bench:
 	go test -run='^$$' -bench=. -benchmem ./...
+
+# soak plays random faults against the real programs: make soak SEED=1000 SEEDS=50 ROUTERS=6 FAULT_SECONDS=20
+SEED ?= 1000
+SEEDS ?= 50
+ROUTERS ?= 6
+FAULT_SECONDS ?= 20
+soak:
+	go test -count=1 -v -timeout 3h -run TestSoak ./internal/soaker -soak.seed $(SEED) -soak.seeds $(SEEDS) \
+		-soak.routers $(ROUTERS) -soak.seconds $(FAULT_SECONDS)
--- a/cmd/papayapaddle/main.go
+++ b/cmd/papayapaddle/main.go
@@ -12,8 +12,9 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	// Signals are caught until the process has ended: a second one that comes in its
+	// last moment must not turn a clean stop into a kill.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	if err := commander.New(os.Stdout, os.Stderr).Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "papayapaddle:", err)
 		os.Exit(1)
