A router at its limit shares it between workspaces

All refusals were the router's own and blind to whose the requests were. Above nine tenths of the limit only workspaces with less than their max-min share of it are taken now.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -228,6 +228,7 @@
 		Repeat:  func(service string) bool { return b.Repeat(time.Now(), service) },
 		Closing: n.closing,
 		Busy:    n.pressure.busy,
+		Done:    n.pressure.done,
 		Away:    func() bool { return n.backpressure.left(time.Now()) },
 		Buffer:  &relayer.Budget{Bytes: int64(float64(n.settings.Limits.MemoryMB<<20) * bodyShare)},
 		Log:     n.log, LogRefusal: n.refusals.allow, Observe: n.meter.observe,
--- a/internal/conductor/pressure.go
+++ b/internal/conductor/pressure.go
@@ -107,6 +107,8 @@
 	looked func(now time.Time, refused bool)
 
 	lag atomic.Int64
+	// occupied tells whose requests are served.
+	occupied occupancy
 	// taken and refused count the requests that busy was asked about.
 	taken   atomic.Int64
 	refused atomic.Int64
@@ -205,27 +207,34 @@
 	p.limit.Store(min(max(int64(limit), p.least), p.most.Load()))
 }
 
-// busy says why a request cannot be taken, or nothing.
-func (p *pressure) busy(work cataloger.Work, active int64) string {
-	why := p.judge(work, active)
-	if why == "" {
-		p.taken.Add(1)
-	} else {
+// busy says why a request cannot be taken, or nothing; done must be called at the
+// end of one that is taken.
+func (p *pressure) busy(work cataloger.Work, workspace string, active int64) string {
+	why := p.judge(work, workspace, active)
+	if why != "" {
 		p.refused.Add(1)
+		return why
 	}
-	return why
+	p.taken.Add(1)
+	p.occupied.add(workspace)
+	return ""
 }
 
-func (p *pressure) judge(work cataloger.Work, active int64) string {
+func (p *pressure) done(workspace string) { p.occupied.remove(workspace) }
+
+func (p *pressure) judge(work cataloger.Work, workspace string, active int64) string {
 	share := 1.0
 	if work != cataloger.WorkStream {
 		share = plainShare
 	}
+	limit := float64(p.limit.Load())
 	switch {
 	case float64(active) > share*float64(p.maxRequests):
 		return "router-full"
-	case float64(active) > share*float64(p.limit.Load()):
+	case float64(active) > share*limit:
 		return "router-slow"
+	case work == cataloger.WorkStream && float64(active) > contestedShare*limit && !p.occupied.below(workspace, contestedShare*limit):
+		return "router-share"
 	}
 	return ""
 }
--- a/internal/conductor/pressure_test.go
+++ b/internal/conductor/pressure_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -27,15 +28,15 @@
 	c.Assert(served <= 0.76*float64(134<<20), qt.IsTrue)
 	c.Assert(p.maxConnections < 4100-200, qt.IsTrue)
 
-	c.Assert(p.busy(cataloger.WorkStream, 100), qt.Equals, "")
-	c.Assert(p.busy(cataloger.WorkStream, p.maxRequests+1), qt.Equals, "router-full")
-	c.Assert(p.busy(cataloger.WorkOnce, p.maxRequests+1), qt.Equals, "")
-	c.Assert(p.busy(cataloger.WorkOnce, 2*p.maxRequests), qt.Equals, "router-full")
+	c.Assert(p.busy(cataloger.WorkStream, "w", 100), qt.Equals, "")
+	c.Assert(p.busy(cataloger.WorkStream, "w", p.maxRequests+1), qt.Equals, "router-full")
+	c.Assert(p.busy(cataloger.WorkOnce, "w", p.maxRequests+1), qt.Equals, "")
+	c.Assert(p.busy(cataloger.WorkOnce, "w", 2*p.maxRequests), qt.Equals, "router-full")
 
 	for range 20 {
 		p.note(200 * time.Millisecond)
 	}
-	c.Assert(p.busy(cataloger.WorkStream, active), qt.Equals, "router-slow")
+	c.Assert(p.busy(cataloger.WorkStream, "w", active), qt.Equals, "router-slow")
 	now := time.Unix(0, 0)
 	c.Assert(p.takes(now, 10), qt.IsTrue)
 	c.Assert(p.takes(now, 1000), qt.IsTrue, qt.Commentf("callers with a connection do not shut the others out"))
@@ -46,7 +47,7 @@
 	for range 10 {
 		p.note(0)
 	}
-	c.Assert(p.busy(cataloger.WorkStream, 1), qt.Equals, "")
+	c.Assert(p.busy(cataloger.WorkStream, "w", 1), qt.Equals, "")
 }
 
 // TestShareOfACoreIsUsedUp replays grown sdb-quotes scale-1, where one workspace
@@ -65,7 +66,7 @@
 	p := newPressure(platform.Resource{MemoryMB: 184, MaxDescriptors: 4100}, func() int64 { return int64(active) })
 	step := lagStep.Seconds()
 	for at := 0.0; at < 20; at += step {
-		if p.busy(cataloger.WorkStream, int64(active)) == "" {
+		if p.busy(cataloger.WorkStream, "w", int64(active)) == "" {
 			active += offered * step
 		}
 		use := active / lasting / perSecond
@@ -94,8 +95,8 @@
 	for range 1000 {
 		p.note(80 * time.Millisecond)
 	}
-	c.Assert(p.busy(cataloger.WorkStream, 60), qt.Equals, "")
-	c.Assert(p.busy(cataloger.WorkStream, 61), qt.Equals, "router-slow")
+	c.Assert(p.busy(cataloger.WorkStream, "w", 60), qt.Equals, "")
+	c.Assert(p.busy(cataloger.WorkStream, "w", 61), qt.Equals, "router-slow")
 }
 
 // pipes is a listener that accepts the given connections.
@@ -217,7 +218,7 @@
 			rate = flood
 		}
 		for due += rate * step; due >= 1; due-- {
-			if p.busy(cataloger.WorkStream, active()+1) == "" {
+			if p.busy(cataloger.WorkStream, "w", active()+1) == "" {
 				waiting = append(waiting, at+wait)
 				began[int(at)]++
 			}
@@ -228,6 +229,7 @@
 		use := (base + streams*perSecond) / share
 		for ended += streams / lasting * step / max(1, use); ended >= 1; ended-- {
 			streams--
+			p.done("w")
 		}
 		p.noteUse(share * min(1, use))
 		late := 0.0
@@ -313,3 +315,49 @@
 	}
 	c.Assert(p.limit.Load(), qt.Equals, int64(320))
 }
+
+// TestFairAtOneRouter replays the same day: a workspace that sends four times as
+// much as another through the same router leaves that one all that it asks for,
+// up to its even share.
+func TestFairAtOneRouter(t *testing.T) {
+	c := qt.New(t)
+	ends := map[string][]float64{} // of the requests at the same time
+	active := func() int64 { return int64(len(ends["flood"]) + len(ends["other"])) }
+	n := 0
+	lasting := func() float64 {
+		// One to five seconds.
+		n++
+		return 1 + float64(n%9)/2
+	}
+	p := newPressure(platform.Resource{MemoryMB: 134, MaxDescriptors: 4100, CPUShare: 0.4}, active)
+	asked, taken := 0, 0
+	step := lagStep.Seconds()
+	dueFlood, dueOther := 0.0, 0.0
+	for at := 0.0; at < 20; at += step {
+		for dueFlood += 400 * step; dueFlood >= 1; dueFlood-- {
+			if p.busy(cataloger.WorkStream, "flood", active()+1) == "" {
+				ends["flood"] = append(ends["flood"], at+lasting())
+			}
+		}
+		for dueOther += 40 * step; dueOther >= 1; dueOther-- {
+			if at > 5 {
+				asked++
+			}
+			if p.busy(cataloger.WorkStream, "other", active()+1) == "" {
+				ends["other"] = append(ends["other"], at+lasting())
+				if at > 5 {
+					taken++
+				}
+			}
+		}
+		for w, open := range ends {
+			ends[w] = slices.DeleteFunc(open, func(end float64) bool {
+				if end <= at {
+					p.done(w)
+				}
+				return end <= at
+			})
+		}
+	}
+	c.Assert(float64(taken) >= 0.95*float64(asked), qt.IsTrue, qt.Commentf("%d of %d", taken, asked))
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -38,9 +38,10 @@
 	// Closing says since when the router has been shutting down, and when it will
 	// end what is still open; zero if it is not.
 	Closing func() (began, end time.Time)
-	// Busy says why the router itself cannot take a request while so many are
-	// served, or nothing.
-	Busy func(work cataloger.Work, active int64) string
+	// Busy says why the router itself cannot take a workspace's request while so many
+	// are served, or nothing; then Done is told when the request has ended.
+	Busy func(work cataloger.Work, workspace string, active int64) string
+	Done func(workspace string)
 	// Away says that callers who open a new connection reach other routers; nil says
 	// that they may not.
 	Away func() bool
@@ -113,6 +114,9 @@
 	outcome string
 	status  int
 	detail  []any
+	// taken says that the router took the request for a workspace.
+	taken    bool
+	takenFor string
 	// busy says that the router refused the request for its own sake.
 	busy bool
 }
@@ -133,6 +137,10 @@
 // finish writes the request's log line, and cuts the connection if the answer
 // is not whole.
 func (x *exchange) finish() {
+	if x.taken {
+		// The configuration may have given the key to another workspace since.
+		x.Done(x.takenFor)
+	}
 	now := time.Now()
 	took := now.Sub(x.call.Arrived)
 	s := Summary{Outcome: x.outcome, Status: x.status, Took: took}
@@ -265,7 +273,7 @@
 		x.refuse("shutting-down", RetryElsewhere)
 		return false
 	}
-	if why := x.Busy(x.call.Route.Work, x.active.Load()); why != "" {
+	if why := x.Busy(x.call.Route.Work, x.call.Workspace, x.active.Load()); why != "" {
 		// The next try reaches another router. The connection stays while a new one would
 		// come back to this router: opening one costs more than this refusal.
 		if x.Away != nil && x.Away() {
@@ -275,6 +283,7 @@
 		x.refuse(why, RetryElsewhere)
 		return false
 	}
+	x.taken, x.takenFor = true, x.call.Workspace
 	return true
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -217,7 +217,8 @@
 			}
 			return time.Now().Add(-b.closing), time.Now().Add(7*time.Second - b.closing)
 		},
-		Busy:   func(cataloger.Work, int64) string { return b.busy },
+		Busy:   func(cataloger.Work, string, int64) string { return b.busy },
+		Done:   func(string) {},
 		Buffer: &Budget{Bytes: 1 << 20},
 		Log:    func(string, ...any) {},
 	}
