Unused connections of callers make room for new ones

With room for requests, the connection that was unused for the longest time, a second or more, is now closed for a new one; a request that crosses the close is not read and is sent again.

--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -61,12 +61,14 @@
 	}
 	bounded := bound(callers, n.pressure.takes, n.turnedAway, func() { n.meter.count("caller-connections-closed") })
 	n.pressure.looked = n.onLook
+	bounded.room = n.pressure.room
 	bounded.pace = turnPace(n.settings.Limits.CPUShare)
 	n.pressure.report = func() { n.reportPressure(bounded.open.Load()) }
 	var ctx context.Context
 	ctx, n.cancel = context.WithCancel(context.Background())
 	n.peers = peers
 	n.callers = newServer(n.relayer)
+	n.callers.ConnState = bounded.idle.note
 	n.ready = newServer(n.readyHandler())
 	n.operators = newServer(n.operatorHandler())
 	go n.recorder.Run(n.done)
--- a/internal/conductor/pressure.go
+++ b/internal/conductor/pressure.go
@@ -239,6 +239,9 @@
 	return ""
 }
 
+// room says whether the router could take more requests of any workspace.
+func (p *pressure) room() bool { return float64(p.active()) < contestedShare*float64(p.limit.Load()) }
+
 // takes says whether one more connection may be opened beside so many. A slow
 // router keeps few, as the requests on them cost more to refuse; but it always
 // takes some, or the unused ones would shut all others out.
--- a/internal/conductor/pressure_test.go
+++ b/internal/conductor/pressure_test.go
@@ -361,3 +361,47 @@
 	}
 	c.Assert(float64(taken) >= 0.95*float64(asked), qt.IsTrue, qt.Commentf("%d of %d", taken, asked))
 }
+
+// TestUnusedConnectionsMakeRoom replays grown sdb-quotes scale-1 after the flood: a
+// calm router had 2,316 unused connections, as many as it may have, and turned all
+// new callers away for seconds.
+func TestUnusedConnectionsMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		in := &pipes{}
+		for range 6 {
+			a, b := net.Pipe()
+			defer a.Close()
+			in.conns = append(in.conns, a)
+			go func() { _, _ = io.Copy(io.Discard, b) }()
+		}
+		room := true
+		l := bound(in, func(_ time.Time, open int64) bool { return open < 3 }, func(*http.Request) http.Header { return nil }, func() {})
+		l.room = func() bool { return room }
+		accept := func() net.Conn {
+			c.Helper()
+			conn, err := l.Accept()
+			c.Assert(err, qt.IsNil)
+			return conn
+		}
+		first, second, third := accept(), accept(), accept()
+		l.idle.note(first, http.StateIdle)
+		time.Sleep(evictAfter)
+		l.idle.note(second, http.StateIdle)
+		l.idle.note(third, http.StateIdle)
+		l.idle.note(third, http.StateActive)
+		accept()
+		_, err := first.Write(nil)
+		c.Assert(err, qt.IsNotNil, qt.Commentf("the longest unused one is closed"))
+		c.Assert(l.open.Load(), qt.Equals, int64(3))
+		time.Sleep(evictAfter)
+		accept()
+		_, err = second.Write(nil)
+		c.Assert(err, qt.IsNotNil)
+		_, err = third.Write(nil)
+		c.Assert(err, qt.IsNil, qt.Commentf("one in use is kept"))
+		room = false
+		_, err = l.Accept()
+		c.Assert(err, qt.Equals, net.ErrClosed, qt.Commentf("the sixth is turned away"))
+	})
+}
--- a/internal/conductor/turnaway.go
+++ b/internal/conductor/turnaway.go
@@ -50,6 +50,10 @@
 	refuse func(req *http.Request) http.Header
 	// closed is told of each connection that was closed unread.
 	closed func()
+	// room says whether requests could be taken; nil says no. Then a connection too
+	// many takes the place of one that has long been unused.
+	room func() bool
+	idle idleConns
 	// pace bounds how many are turned away a second; nil does not. The scheduler runs
 	// what was just accepted before streams whose events have arrived, so callers who
 	// keep coming would stop all of them.
@@ -81,7 +85,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.takes(time.Now(), l.open.Add(1)-1) {
+		now := time.Now()
+		if l.takes(now, l.open.Add(1)-1) || l.room != nil && l.room() && l.idle.evict(now) {
 			if err := linker.Probe(c, callerSilence); err != nil {
 				// It has just ended.
 				l.open.Add(-1)
@@ -146,7 +151,10 @@
 
 // Close closes the connection and makes room for another one.
 func (c *boundedConn) Close() error {
-	c.once.Do(func() { c.l.open.Add(-1) })
+	c.once.Do(func() {
+		c.l.open.Add(-1)
+		c.l.idle.remove(c)
+	})
 	return c.Conn.Close()
 }
 
