Signals at the start and in the last moment of a stop do no harm

SIGHUP is now caught until the end and ignored before the settings are read; a stop during the start is a clean one.

--- a/cmd/papayapaddle/main.go
+++ b/cmd/papayapaddle/main.go
@@ -12,6 +12,8 @@
 )
 
 func main() {
+	// Settings that change while the process starts are read at its start.
+	signal.Ignore(syscall.SIGHUP)
 	// Signals are caught until the process has ended: a second one that comes in its
 	// last moment must not turn a clean stop into a kill.
 	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -48,9 +48,14 @@
 		return err
 	}
 	hup := make(chan os.Signal, 1)
+	// It is caught until the process has ended: one that comes while the router stops
+	// must not kill it.
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	if err := r.Start(ctx); err != nil {
+		if ctx.Err() != nil {
+			fmt.Fprintln(out, "event=stopped-at-start err="+fmt.Sprintf("%q", err))
+			return nil
+		}
 		return err
 	}
 	for {
--- /dev/null
+++ b/internal/commander/serve_test.go
@@ -0,0 +1,25 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/platform/standin"
+)
+
+// TestStopAtStart replays seed 1004 of the soak: SIGTERM while the router starts is
+// a clean stop, not a failure.
+func TestStopAtStart(t *testing.T) {
+	c := qt.New(t)
+	site, err := standin.NewSite(1, 1)
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	defer site.Close(ctx)
+	var out bytes.Buffer
+	c.Assert(runOnPlatform(ctx, site.Settings("a"), "", &out), qt.IsNil)
+	c.Assert(out.String(), qt.Contains, "event=stopped-at-start")
+}
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -33,6 +33,10 @@
 	1,
 	// A second SIGTERM in the last moment of a stop ended the process as a kill.
 	208,
+	// SIGTERM while a router starts made it fail with "context canceled".
+	1004,
+	// SIGHUP in the last moment of a stop killed the router.
+	1042,
 }
 
 // callersPerRouter is the number of callers for each router.
