--- a/internal/conductor/pressure.go
+++ b/internal/conductor/pressure.go
@@ -61,8 +61,6 @@
 	requestBytes = 64 << 10
 	// connectionBytes is about the memory of a caller's unused connection: its
 	// buffers, its goroutine's stack, and what the runtime keeps of the last request.
-	// With 16 KB a router of 112 MB came to its limit at 2,450 connections; 40 KB
-	// turned callers away from routers that were not busy.
 	connectionBytes = 24 << 10
 	// requestShare and connectionShare are the parts of the memory for them.
 	requestShare    = 0.4
@@ -86,12 +84,12 @@
 	// descriptors.
 	maxRequests    int64
 	maxConnections int64
-	// most is the limit while the router keeps up. It follows from the share of a
-	// core, too: streams cost the processor most after they were taken, and once the
-	// router wakes late it has taken too many.
+	// most is the limit while the router keeps up. It follows what the processor
+	// bears, as streams cost it most after they were taken: once the router wakes
+	// late, it has taken too many.
 	most atomic.Int64
-	// leastMost is where most begins; share is the share of a core, use the part of it
-	// that was used lately.
+	// leastMost is where most begins; share is the router's part of a core, and use
+	// the part of that share which was used lately.
 	leastMost int64
 	share     float64
 	use       float64
@@ -106,6 +104,7 @@
 	// looked is told at each look whether requests were refused since the last one.
 	looked func(now time.Time, refused bool)
 
+	// lag is how late the router wakes, smoothed, in nanoseconds.
 	lag atomic.Int64
 	// occupied tells whose requests are served.
 	occupied occupancy
--- a/internal/conductor/turnaway.go
+++ b/internal/conductor/turnaway.go
@@ -40,8 +40,8 @@
 )
 
 // boundedListener hands on the connections within a bound. On each other one, one
-// request is read and refused: callers whose connection is closed unread come
-// back at once, 3,000 times a second on grown sdb-quotes scale-1.
+// request is read and refused, as callers whose connection is closed unread come
+// back at once.
 type boundedListener struct {
 	net.Listener
 	// takes says whether one more connection may be opened beside so many.
