--- a/internal/conductor/benchmark_test.go
+++ b/internal/conductor/benchmark_test.go
@@ -47,10 +47,8 @@
 	return f.routers["a"].node, f.at["a"].Listen.Callers
 }
 
-// BenchmarkStream measures a stream of 64 events through the whole router; caller
-// and server run in the same process and are counted.
-func BenchmarkStream(b *testing.B) {
-	_, address := benchRouter(b)
+// benchKept sends requests for streams of 64 events on one connection.
+func benchKept(b *testing.B, address string, status int) {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
 		b.Fatal(err)
@@ -59,24 +57,22 @@
 	br := bufio.NewReader(c)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		benchExchange(b, c, br, benchRequest(i, 64), http.StatusOK)
+		benchExchange(b, c, br, benchRequest(i, 64), status)
 	}
 }
 
+// BenchmarkStream measures a stream of 64 events through the whole router; caller
+// and server run in the same process and are counted.
+func BenchmarkStream(b *testing.B) {
+	_, address := benchRouter(b)
+	benchKept(b, address, http.StatusOK)
+}
+
 // BenchmarkRefusal measures the refusal of a request on a kept connection.
 func BenchmarkRefusal(b *testing.B) {
 	n, address := benchRouter(b)
 	n.pressure.maxRequests = -1
-	c, err := net.Dial("tcp", address)
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer c.Close()
-	br := bufio.NewReader(c)
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		benchExchange(b, c, br, benchRequest(i, 64), http.StatusServiceUnavailable)
-	}
+	benchKept(b, address, http.StatusServiceUnavailable)
 }
 
 // BenchmarkTurnAway measures the refusal of a request on a new connection.
