Routers of a large fleet exchange news with few hubs; owners name the server with room

In fleets above 24 routers some of each zone are now hubs, those with the largest share of a core: they own the servers and exchange news with each other, the others with two of them. Losses, crowded routers and the size of the fleet are passed on and summed by hubs. An owner that refuses names the server with room, as leaves hear no loads. Smaller fleets work as before.

In virtual time at 300 routers: a lost hub is replaced, and the holds of a lost leaf are given up, within 1.5 s; a zone cut off and back, and a zone that starts anew, end with one owner for each server. At 390 a leaf has 27 exchanges a second at most.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -187,63 +187,48 @@
 	return a
 }
 
-// Acquire finds a place, waiting for one within the need's times. Of the prompt's homes
-// the best is asked, the next one if that keeps failing; where they have no room, a
-// server that has some.
+// Acquire finds a place, waiting for one within the need's times. The prompt's home is
+// asked first; where that has no room, a server that its owner names, once.
 func (a *Allocator) Acquire(ctx context.Context, n *Need) (*Place, *Refusal) {
-	servers, loads := a.Servers(n.Service.Name), a.Loads()
-	ranked := steerer.Rank(n.Steer, servers, loads, n.Exclude)
+	servers := a.Servers(n.Service.Name)
+	ranked := steerer.Rank(n.Steer, servers, a.Loads(), n.Exclude)
 	if len(ranked) == 0 {
 		return nil, &Refusal{Reason: ReasonNoServer, RetryAfter: retryNoServer}
 	}
-	var first *Refusal
-	tried := n.Exclude
-	asks := 0
-	try := func(s *cataloger.Server, spare bool) (*Place, *Refusal) {
-		asks++
-		tried = append(slices.Clip(tried), s.ID)
-		p, r := a.try(ctx, n, s, spare)
-		if first == nil {
-			first = r
-		}
-		if r != nil {
-			r.Asks = asks
-		}
-		return p, r
+	p, first := a.try(ctx, n, ranked[0], false)
+	if p != nil || first.Reason == ReasonCanceled {
+		return p, first
 	}
-	for _, s := range ranked {
-		p, r := try(s, false)
-		if p != nil || r.Reason == ReasonCanceled {
-			return p, r
-		}
-		if r.Reason != admitter.ReasonSuspended {
-			break
-		}
+	first.Asks = 1
+	i := slices.IndexFunc(servers, func(s *cataloger.Server) bool { return s.ID == first.Reply.Elsewhere })
+	if i < 0 || slices.Contains(n.Exclude, servers[i].ID) {
+		return nil, first
 	}
-	if s := steerer.Spare(n.Steer, servers, loads, tried); s != nil {
-		p, r := try(s, true)
-		if p != nil || r.Reason == ReasonCanceled {
-			return p, r
-		}
+	p, r := a.try(ctx, n, servers[i], !first.Reply.Home)
+	if p != nil || r.Reason == ReasonCanceled {
+		return p, r
 	}
-	first.Asks = asks
+	first.Asks++
 	return nil, first
 }
 
 // try asks for a place on one server.
 func (a *Allocator) try(ctx context.Context, n *Need, s *cataloger.Server, spare bool) (*Place, *Refusal) {
-	ask := &admitter.Ask{
-		Router: a.Self.Name, ID: rand.Uint64(), Workspace: n.Workspace,
-		Engine: admitter.Engine{ID: s.ID, Slots: n.Service.Engine.Slots, MemoryTokens: n.Service.Engine.MemoryTokens},
-		Prompt: n.Prompt, Parts: n.Parts, Answer: n.Answer, FirstBy: n.FirstBy, Deadline: n.Deadline, Arrived: n.Arrived,
-		Resumed: n.Resumed, Spare: spare,
+	in := &messenger.AskArgs{
+		Ask: admitter.Ask{
+			Router: a.Self.Name, ID: rand.Uint64(), Workspace: n.Workspace,
+			Engine: admitter.Engine{ID: s.ID, Slots: n.Service.Engine.Slots, MemoryTokens: n.Service.Engine.MemoryTokens},
+			Prompt: n.Prompt, Parts: n.Parts, Answer: n.Answer, FirstBy: n.FirstBy, Deadline: n.Deadline, Arrived: n.Arrived,
+			Resumed: n.Resumed, Spare: spare,
+		},
+		Service: n.Service.Name, Prompt: n.Steer, Tried: n.Exclude,
 	}
-	r, owner, err := a.ask(ctx, ask, s.AvailabilityZone)
+	r, owner, err := a.ask(ctx, in, s.AvailabilityZone)
 	switch {
 	case err != nil:
 		return nil, &Refusal{Reason: ReasonCanceled, Server: s.ID, Owner: owner.Name}
 	case r.Granted:
-		return a.hold(&Place{Server: s, a: a, ask: ask, owner: owner}), nil
+		return a.hold(&Place{Server: s, a: a, ask: &in.Ask, owner: owner}), nil
 	}
 	return nil, &Refusal{Reason: r.Reason, Server: s.ID, Owner: owner.Name, Reply: r, RetryAfter: r.RetryAfter}
 }
@@ -251,13 +236,14 @@
 // ask asks the owner of the ask's server, then the router that would own it
 // without that one, and at last decides alone. An error means that nobody waits
 // for the answer any more.
-func (a *Allocator) ask(ctx context.Context, k *admitter.Ask, zone string) (messenger.AskReply, messenger.Peer, error) {
+func (a *Allocator) ask(ctx context.Context, in *messenger.AskArgs, zone string) (messenger.AskReply, messenger.Peer, error) {
+	k := &in.Ask
 	for _, o := range a.Roster.Owners(k.Engine.ID, zone, owners) {
 		if o.Name == a.Self.Name {
-			r, err := a.decide(ctx, k)
+			r, err := a.decide(ctx, in)
 			return r, a.Self, err
 		}
-		r, err := a.askPeer(ctx, o, k)
+		r, err := a.askPeer(ctx, o, in)
 		if err == nil {
 			return r, o, nil
 		}
@@ -272,24 +258,24 @@
 		// The owner may have granted it all the same.
 		a.withdraw(o, k)
 	}
-	r, err := a.decide(ctx, k)
+	r, err := a.decide(ctx, in)
 	return r, a.Self, err
 }
 
 // askPeer waits for the owner's decision. An owner that falls silent is noticed
 // by the exchange of news, which closes the connection to it.
-func (a *Allocator) askPeer(ctx context.Context, o messenger.Peer, k *admitter.Ask) (messenger.AskReply, error) {
-	args := &messenger.AskArgs{Ask: *k, FirstIn: time.Until(k.FirstBy), DeadlineIn: time.Until(k.Deadline)}
+func (a *Allocator) askPeer(ctx context.Context, o messenger.Peer, in *messenger.AskArgs) (messenger.AskReply, error) {
+	args := *in
+	args.FirstIn, args.DeadlineIn = time.Until(in.Ask.FirstBy), time.Until(in.Ask.Deadline)
 	args.Ask.FirstBy, args.Ask.Deadline, args.Ask.Arrived = time.Time{}, time.Time{}, time.Time{}
-	return a.Messenger.Ask(ctx, o.Address, args)
+	return a.Messenger.Ask(ctx, o.Address, &args)
 }
 
 // HandleAsk decides a peer's ask; it blocks until the decision.
 func (a *Allocator) HandleAsk(in *messenger.AskArgs) messenger.AskReply {
 	now := time.Now()
-	k := in.Ask
-	k.Arrived, k.FirstBy, k.Deadline = now, now.Add(in.FirstIn), now.Add(in.DeadlineIn)
-	r, err := a.decide(context.Background(), &k)
+	in.Ask.Arrived, in.Ask.FirstBy, in.Ask.Deadline = now, now.Add(in.FirstIn), now.Add(in.DeadlineIn)
+	r, err := a.decide(context.Background(), in)
 	if err != nil {
 		return messenger.AskReply{Reason: ReasonCanceled}
 	}
@@ -297,7 +283,8 @@
 }
 
 // decide asks the own admitter.
-func (a *Allocator) decide(ctx context.Context, k *admitter.Ask) (messenger.AskReply, error) {
+func (a *Allocator) decide(ctx context.Context, in *messenger.AskArgs) (messenger.AskReply, error) {
+	k := &in.Ask
 	ch := make(chan admitter.Decision, 1)
 	a.do(func(now time.Time, ad *admitter.Admitter) {
 		if a.waiters == nil {
@@ -308,7 +295,9 @@
 	})
 	select {
 	case d := <-ch:
-		return reply(d), nil
+		r := reply(d)
+		a.elsewhere(in, &r)
+		return r, nil
 	case <-ctx.Done():
 	}
 	a.cancel(k.Engine.ID, k.Router, k.ID)
@@ -323,6 +312,25 @@
 	})
 }
 
+// elsewhere names a server to ask instead in a refusal: another home for a prompt whose
+// server keeps failing, or one with room.
+func (a *Allocator) elsewhere(in *messenger.AskArgs, r *messenger.AskReply) {
+	if r.Granted || in.Ask.Spare || r.Reason == ReasonCanceled {
+		return
+	}
+	servers, loads := a.Servers(in.Service), a.Loads()
+	tried := append(slices.Clip(in.Tried), in.Ask.Engine.ID)
+	if r.Reason == admitter.ReasonSuspended {
+		if homes := steerer.Rank(in.Prompt, servers, loads, tried); len(homes) > 0 {
+			r.Elsewhere, r.Home = homes[0].ID, true
+		}
+		return
+	}
+	if s := steerer.Spare(in.Prompt, servers, loads, tried); s != nil {
+		r.Elsewhere = s.ID
+	}
+}
+
 func reply(d admitter.Decision) messenger.AskReply {
 	return messenger.AskReply{
 		Granted: d.Granted, Reason: d.Reason, RetryAfter: d.RetryAfter, Running: d.Running, Waiting: d.Waiting,
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -155,7 +155,7 @@
 		settings: s, recorder: rec, meter: newMeter(), balancer: &balancer.Balancer{Zone: s.AvailabilityZone},
 		done: make(chan struct{}),
 		self: messenger.Peer{
-			Name: s.Name, Address: s.PeerAddress(), AvailabilityZone: s.AvailabilityZone,
+			Name: s.Name, Address: s.PeerAddress(), AvailabilityZone: s.AvailabilityZone, CPUShare: s.Limits.CPUShare,
 			// Milliseconds first, so that a later process has a larger incarnation.
 			Incarnation: uint64(time.Now().UnixMilli())<<16 | uint64(binary.LittleEndian.Uint16(b[:])),
 		},
--- a/internal/conductor/news.go
+++ b/internal/conductor/news.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"papayapaddle/internal/messenger"
@@ -13,9 +12,6 @@
 )
 
 const (
-	// maxKnown is the number of routers that news tell of. Each router exchanges
-	// news many times a second, so that all learn of a new one within a second.
-	maxKnown = 2
 	// listFirst is the time until the routers' entries are read again, which doubles
 	// up to listMost: a router makes itself known to all that it reads of.
 	listFirst = time.Second
@@ -39,7 +35,7 @@
 
 // period returns the period of news between two routers.
 func (n *node) period() time.Duration {
-	return max(newsPeriod, time.Duration(n.roster.Size())*time.Second/(2*newsRate))
+	return max(newsPeriod, time.Duration(n.roster.Neighbours())*time.Second/(2*newsRate))
 }
 
 // exchangeNews keeps the routers informed of each other until the context ends.
@@ -48,7 +44,7 @@
 	for pauser.Pause(ctx, n.period()/2) {
 		p := n.period()
 		n.roster.SetSilence(max(peerSilence, silentPeriods*p))
-		n.budgeter.Share(n.roster.Size())
+		n.budgeter.Share(n.roster.Fleet())
 		age, proven := n.watcher.Age()
 		for _, peer := range n.roster.Due(p, !proven || age > unprovenAfter) {
 			go n.askNews(ctx, peer)
@@ -142,7 +138,9 @@
 }
 
 // askAfter returns the age of a proof from which this router asks the store.
-func (n *node) askAfter() time.Duration { return askAfter(n.rank(), n.roster.Size(), n.period()) }
+func (n *node) askAfter() time.Duration {
+	return askAfter(n.roster.Rank(), n.roster.Fleet(), n.period())
+}
 
 // askAfter is the same for a router's place by name among the others, which decides
 // who asks first.
@@ -153,15 +151,16 @@
 
 // news returns what the peer is told.
 func (n *node) news(peer string) messenger.News {
-	loads, grants, seen := n.allocator.Tell(peer, n.roster.Told(peer))
 	changed, serversAge, proven := n.watcher.ServersAge()
 	if !proven {
 		serversAge = -1
 	}
 	out := messenger.News{
 		ServersChanged: changed, ServersAgo: serversAge,
-		From: n.self, Leaving: n.isClosing(), Crowded: n.backpressure.busy(), ProvenAgo: -1, Loads: loads, Grants: grants, GrantsSeen: seen,
-		Known: sample(n.roster.Reachable(), maxKnown), Contact: n.watcher.Contact(),
+		Leaving: n.isClosing(), Crowded: n.backpressure.busy(), ProvenAgo: -1, Contact: n.watcher.Contact(),
+	}
+	if n.roster.Tell(peer, &out) {
+		out.Loads, out.Grants, out.GrantsSeen = n.allocator.Tell(peer, n.roster.Told(peer))
 	}
 	// The version comes after the age: what an older proof says of a version holds
 	// for a newer one, and not the other way round.
@@ -172,32 +171,21 @@
 	return out
 }
 
-// sample returns up to n of the peers, drawn at random, so that news stay small
-// in a large fleet and still reach everyone in a few rounds.
-func sample(peers []messenger.Peer, n int) []messenger.Peer {
-	if len(peers) <= n {
-		return peers
-	}
-	out := make([]messenger.Peer, n)
-	for i, k := range rand.Perm(len(peers))[:n] {
-		out[i] = peers[k]
-	}
-	return out
-}
-
 // heard takes a peer's news in.
 func (n *node) heard(in *messenger.News) {
-	replaced, regained := n.roster.Heard(in.From, in.Leaving)
+	replaced, regained, lost := n.roster.Hear(in)
 	if replaced {
 		n.allocator.Forget(in.From.Name)
 	}
 	if regained {
 		n.log("router-heard", "peer", in.From.Name, "address", in.From.Address, "zone", in.From.AvailabilityZone, "replaced", replaced)
 	}
-	n.roster.Crowd(in.From.Name, in.Crowded)
-	n.roster.Add(in.Known...)
+	for _, p := range lost {
+		n.log("router-lost", "peer", p.Name, "told-by", in.From.Name)
+		n.messenger.Forget(p.Address)
+		n.allocator.Forget(p.Name)
+	}
 	n.allocator.Hear(in.From.Name, in.Loads, in.Grants)
-	n.roster.Tells(in.From.Name, in.GrantsSeen)
 	n.watcher.PeerContact(in.From.Name, in.Contact)
 	if in.Version > n.watcher.Version() {
 		go n.fetch(in.From, in.Version)
@@ -244,13 +232,14 @@
 	err := n.retry(ctx, func() error {
 		return n.store.PutRouter(ctx, platform.RouterEntry{
 			Name: n.self.Name, Address: n.self.Address, AvailabilityZone: n.self.AvailabilityZone, Incarnation: n.self.Incarnation,
+			CPUShare: n.self.CPUShare,
 		})
 	})
 	// A write whose answer was late may come after another router's read, so the
 	// list is read again soon, and then ever more rarely. One of the routers that
 	// hear each other is enough for that; those that do not have one each.
 	for wait := listFirst; err == nil; wait = min(2*wait, listMost) {
-		if wait == listFirst || n.rank() == 0 {
+		if wait == listFirst || n.roster.Rank() == 0 {
 			err = n.retry(ctx, func() error { return n.list(ctx) })
 		}
 		if err != nil || !pauser.Pause(ctx, wait) {
@@ -259,17 +248,6 @@
 	}
 }
 
-// rank is this router's place, by name, among those that it hears.
-func (n *node) rank() int {
-	rank := 0
-	for _, p := range n.roster.Reachable() {
-		if p.Name < n.self.Name {
-			rank++
-		}
-	}
-	return rank
-}
-
 // retry calls f until it works or the context ends.
 func (n *node) retry(ctx context.Context, f func() error) error {
 	for {
@@ -295,6 +273,7 @@
 	for _, e := range entries {
 		n.roster.Add(messenger.Peer{
 			Name: e.Name, Address: e.Address, AvailabilityZone: e.AvailabilityZone, Incarnation: e.Incarnation,
+			CPUShare: e.CPUShare,
 		})
 	}
 	return nil
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayapaddle/internal/admitter"
+	"papayapaddle/internal/steerer"
 )
 
 // Peer names one process of a router.
@@ -13,6 +14,8 @@
 	AvailabilityZone string
 	// Incarnation tells a process from an earlier one of the same name.
 	Incarnation uint64
+	// CPUShare is its part of a core, 0 if unknown.
+	CPUShare float64
 }
 
 // News is what two routers tell each other in turn.
@@ -41,6 +44,16 @@
 	GrantsSeen uint64
 	// Known are some of the routers that it heard of lately.
 	Known []Peer
+	// Leaf says that a leaf has chosen the receiver for its news, First that it did so
+	// in the first place.
+	Leaf  bool
+	First bool
+	// Lost are routers that a hub does not hear.
+	Lost []Lost
+	// Own is what a hub counts by itself, Zone and Fleet what it tells a leaf.
+	Own   Count
+	Zone  Count
+	Fleet Count
 }
 
 // Grants is what a router granted workspaces lately, in tokens, as far as the
@@ -58,6 +71,11 @@
 	// FirstIn and DeadlineIn replace the ask's times.
 	FirstIn    time.Duration
 	DeadlineIn time.Duration
+	// Service and Prompt let the owner name a server with room where its own has none;
+	// Tried are those that were asked.
+	Service string
+	Prompt  steerer.Prompt
+	Tried   []string
 }
 
 // AskReply is the owner's decision.
@@ -70,6 +88,10 @@
 	Backlog    time.Duration
 	Usage      float64
 	Mean       float64
+	// Elsewhere is the id of a server to ask instead, empty if none is known; Home says
+	// that it takes the place of this one, and not only its room.
+	Elsewhere string
+	Home      bool
 }
 
 // Held is a request that a router runs on a server, told to the server's new
