Routers that start together leave the store to the first of them

A router that has just started waits by its rank among the hubs, 1.2 s at most, for what others know.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -110,6 +110,10 @@
 	done      chan struct{}
 	// closingAt is when the shutdown began, nil before.
 	closingAt atomic.Pointer[time.Time]
+	// startedAt and listedAt are when the process started and when it first read the
+	// list of routers, on the boot clock; 0 for not yet.
+	startedAt time.Duration
+	listedAt  atomic.Int64
 	// asking says that a peer is being asked for a fresher proof, and fetching that
 	// it is for servers' entries.
 	asking   atomic.Bool
@@ -153,7 +157,7 @@
 	rand.Read(b[:])
 	n := &node{
 		settings: s, recorder: rec, meter: newMeter(), balancer: &balancer.Balancer{Zone: s.AvailabilityZone},
-		done: make(chan struct{}),
+		done: make(chan struct{}), startedAt: timer.Boot(),
 		self: messenger.Peer{
 			Name: s.Name, Address: s.PeerAddress(), AvailabilityZone: s.AvailabilityZone, CPUShare: s.Limits.CPUShare,
 			// Milliseconds first, so that a later process has a larger incarnation.
@@ -182,7 +186,7 @@
 	return watcher.New(&watcher.Watcher{
 		Operator: s.OperatorTable(), Servers: s.ServerTable(),
 		DecodeCatalog: platform.DecodeCatalog, DecodeServer: platform.DecodeServer,
-		ConfigKey: platform.ConfigKey, Now: timer.Boot, AskAfter: n.askAfter, Log: n.log,
+		ConfigKey: platform.ConfigKey, Now: timer.Boot, AskAfter: n.askAfter, StartBy: n.startBy, Log: n.log,
 	})
 }
 
--- a/internal/conductor/news.go
+++ b/internal/conductor/news.go
@@ -29,6 +29,9 @@
 	askStep   = 150 * time.Millisecond
 	askMost   = 1200 * time.Millisecond
 	askSpread = 800 * time.Millisecond
+	// listWithin is how long a router that has just started waits for the list of
+	// routers before it reads the store all the same.
+	listWithin = 300 * time.Millisecond
 	// unprovenAfter is the age of the proof from which peers are asked for theirs.
 	unprovenAfter = 1500 * time.Millisecond
 )
@@ -137,6 +140,17 @@
 	return n.news(in.From.Name)
 }
 
+// startBy returns until when a router that has just started waits for what others
+// know: those that come first by rank read the store at once, as soon as the list of
+// routers is read, which tells the rank.
+func (n *node) startBy() time.Duration {
+	listed := time.Duration(n.listedAt.Load())
+	if listed == 0 {
+		return n.startedAt + listWithin
+	}
+	return listed + min(time.Duration(n.roster.StartRank())*askStep, askMost)
+}
+
 // askAfter returns the age of a proof from which this router asks the store.
 func (n *node) askAfter() time.Duration {
 	return askAfter(n.roster.Rank(), n.roster.Fleet(), n.period())
@@ -276,5 +290,6 @@
 			CPUShare: e.CPUShare,
 		})
 	}
+	n.listedAt.CompareAndSwap(0, int64(timer.Boot()))
 	return nil
 }
--- a/internal/messenger/hubs.go
+++ b/internal/messenger/hubs.go
@@ -345,6 +345,32 @@
 // Neighbours returns the number of routers that each hub exchanges news with.
 func (r *Roster) Neighbours() int { return len(r.look().hubs) }
 
+// StartRank returns this router's place by name among those that it knows of and that
+// would be hubs, heard or not; leaves come after all of them.
+func (r *Roster) StartRank() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]Peer, 0, len(r.peers)+1)
+	for _, m := range r.peers {
+		all = append(all, m.Peer)
+	}
+	all = append(all, r.Self)
+	if r.hubbed() {
+		all = pickHubs(all)
+	}
+	rank, hub := 0, false
+	for _, p := range all {
+		hub = hub || p.Name == r.Self.Name
+		if p.Name < r.Self.Name {
+			rank++
+		}
+	}
+	if !hub {
+		return len(all)
+	}
+	return rank
+}
+
 // Rank returns this router's place among those that may ask the store: hubs come
 // first, by name.
 func (r *Roster) Rank() int {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -75,6 +75,9 @@
 	// AskAfter returns the age of a proof from which this router asks the store
 	// itself. Routers differ in it, so that one asks and the others learn of it.
 	AskAfter func() time.Duration
+	// StartBy returns until when, on the boot clock, a router that has just started
+	// leaves it to its peers to tell what they know; nil means that it does not.
+	StartBy func() time.Duration
 	Log      func(event string, keyvals ...any)
 	// OnCatalog and OnServers are told of changes, if set.
 	OnCatalog func(*cataloger.Catalog)
@@ -284,6 +287,7 @@
 	version, known := uint64(0), false
 	backoff := minBackoff
 	lost := false
+	w.hold(ctx, f)
 	for ctx.Err() == nil {
 		b := batch{whole: !known, askedAt: w.Now()}
 		if age, ok := w.age(f); ok {
@@ -340,6 +344,20 @@
 	maxPause = 250 * time.Millisecond
 )
 
+// hold waits for the peers' proof at the start of the process: where many start
+// together, a few of them read the store for all.
+func (w *Watcher) hold(ctx context.Context, f *feed) {
+	for w.StartBy != nil {
+		if _, proven := w.age(f); proven {
+			w.pause(ctx, f)
+			return
+		}
+		if w.Now() >= w.StartBy() || !pauser.Pause(ctx, minPause) {
+			return
+		}
+	}
+}
+
 // pause waits until the proof is old or a peer has something newer.
 func (w *Watcher) pause(ctx context.Context, f *feed) {
 	for {
