A connection whose request has just been read is not closed as unused

Unused connections are retired: the wait for a request ends, and what was read first is served. The test fails on the code before, both for a full router and for a stop. TestUnusedConnectionsMakeRoom now reads connections as the server does, since the server closes a retired one; its assertions stand.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -103,6 +103,7 @@
 	backpressure backpressure
 
 	peers     net.Listener
+	bounded   *boundedListener
 	callers   *http.Server
 	ready     *http.Server
 	operators *http.Server
--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -63,6 +63,7 @@
 	n.pressure.looked = n.onLook
 	n.pressure.blind = func(err error) { n.log("processor-use-unreadable", "err", err) }
 	bounded.room = n.pressure.room
+	n.bounded = bounded
 	bounded.pace = turnPace(n.settings.Limits.CPUShare)
 	n.pressure.report = func() { n.reportPressure(bounded.open.Load()) }
 	var ctx context.Context
@@ -157,7 +158,10 @@
 	pauser.Pause(ctx, turnAway)
 	for n.relayer.Active() > 0 && pauser.Pause(ctx, pollActive) {
 	}
-	// Unused connections are closed, and what came meanwhile is finished.
+	// Unused connections are closed, and what came meanwhile is finished. The library
+	// would close one whose request has just been read.
+	n.bounded.idle.evictAll()
+	pauser.Pause(ctx, pollActive)
 	err := n.callers.Shutdown(ctx)
 	// What is still open then is cut with the process: the platform would kill it.
 	n.log("stopped", "active", n.relayer.Active(), "took-ms", time.Since(began).Milliseconds(), "err", err)
--- a/internal/conductor/pressure_test.go
+++ b/internal/conductor/pressure_test.go
@@ -373,6 +373,13 @@
 			c.Helper()
 			conn, err := l.Accept()
 			c.Assert(err, qt.IsNil)
+			go func() {
+				// As the server does with an unused connection.
+				if _, err := conn.Read(make([]byte, 1)); err != nil {
+					conn.Close()
+				}
+			}()
+			synctest.Wait()
 			return conn
 		}
 		first, second, third := accept(), accept(), accept()
--- a/internal/conductor/turnaway.go
+++ b/internal/conductor/turnaway.go
@@ -147,6 +147,22 @@
 	net.Conn
 	l    *boundedListener
 	once sync.Once
+	// unused says that it is on the list of unused connections; retired, under that
+	// list's lock, that it was taken off it to end.
+	unused  atomic.Bool
+	retired bool
+}
+
+// Read reads from the connection, which is then in use.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.unused.Load() && c.l.idle.remove(c) {
+		// The request came first.
+		if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+			return n, err
+		}
+	}
+	return n, err
 }
 
 // Close closes the connection and makes room for another one.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -78,7 +78,7 @@
 	// StartBy returns until when, on the boot clock, a router that has just started
 	// leaves it to its peers to tell what they know; nil means that it does not.
 	StartBy func() time.Duration
-	Log      func(event string, keyvals ...any)
+	Log     func(event string, keyvals ...any)
 	// OnCatalog and OnServers are told of changes, if set.
 	OnCatalog func(*cataloger.Catalog)
 	OnServers func(*Fleet)
