A silent router's work is known again; comments keep no stalled stream alive

- An owner that had not heard a router for a while forgot its places for good, and gave the engine as many again.
It now answers the router's next settlement with that, and the router tells what it holds.
TestSilentRouterKeepsItsWork had 1 running of 2.
- A late second copy of an answer reaches nobody: TestLateSecondCopyGoesToNobody, no change needed.

Proofs are asked for sooner where keys have to be out of force sooner than within 5 s: with revokeMs 1,000 the last router would have asked after 2 s, while proofs count for 0.7 s.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -94,6 +94,8 @@
 	mu       sync.Mutex
 	Admitter admitter.Admitter
 	waiters  map[waiterKey]chan admitter.Decision
+	// forgotten are the routers whose holds were given up since they last settled any.
+	forgotten map[string]bool
 	// ticking says that Run ticks often; wake makes it so.
 	ticking bool
 	wake    chan struct{}
@@ -338,9 +340,12 @@
 	}
 }
 
-// HandleSettle takes a peer's outcomes in.
-func (a *Allocator) HandleSettle(s *messenger.Settlement) {
+// HandleSettle takes a peer's outcomes in. It says whether what the peer holds was given
+// up while it was silent.
+func (a *Allocator) HandleSettle(s *messenger.Settlement) (forgotten bool) {
 	a.do(func(now time.Time, ad *admitter.Admitter) {
+		forgotten = a.forgotten[s.From]
+		delete(a.forgotten, s.From)
 		for _, h := range s.Held {
 			k := h.Ask
 			k.Arrived, k.FirstBy, k.Deadline = now, now, now.Add(h.DeadlineIn)
@@ -359,6 +364,7 @@
 			ad.Cancel(now, c.Server, s.From, c.ID)
 		}
 	})
+	return forgotten
 }
 
 // Loads returns the servers' loads as last heard.
@@ -414,9 +420,16 @@
 	a.loads = m
 }
 
-// Forget drops what a router that is gone holds.
+// Forget drops what a router holds that is gone. One that was only silent tells it again
+// once it is heard.
 func (a *Allocator) Forget(router string) {
-	a.do(func(now time.Time, ad *admitter.Admitter) { ad.Forget(now, router) })
+	a.do(func(now time.Time, ad *admitter.Admitter) {
+		ad.Forget(now, router)
+		if a.forgotten == nil {
+			a.forgotten = map[string]bool{}
+		}
+		a.forgotten[router] = true
+	})
 }
 
 // Keep drops the servers that are gone.
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -59,6 +59,7 @@
 		},
 		Log: func(string, ...any) {},
 	}}
+	r.Messenger.Forgotten = r.Retell
 	r.Messenger.Handlers = messenger.Handlers{
 		News: func(*messenger.News) messenger.News { return messenger.News{} }, Ask: r.HandleAsk, Settle: r.HandleSettle,
 		Fetch: func(uint64) messenger.FetchReply { return messenger.FetchReply{} },
@@ -185,3 +186,34 @@
 		p.End(false, true)
 	})
 }
+
+// TestSilentRouterKeepsItsWork: an owner that has not heard a router for a while gives its
+// places to others. Once the router is heard, the owner knows of its running work again:
+// it neither hands the engine too much nor is anything started elsewhere.
+func TestSilentRouterKeepsItsWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := &network{routers: map[string]*router{}, cut: map[string]bool{}}
+		defer n.close()
+		owner, other := n.pair()
+		running := func() int {
+			synctest.Wait()
+			return owner.Dump()[0].Running
+		}
+		long, r := other.Acquire(t.Context(), need())
+		c.Assert(r, qt.IsNil)
+		long.Began()
+		c.Assert(running(), qt.Equals, 1)
+		owner.Forget(other.Self.Name)
+		c.Assert(running(), qt.Equals, 0)
+
+		short, r := other.Acquire(t.Context(), need())
+		c.Assert(r, qt.IsNil)
+		short.Began()
+		c.Assert(running(), qt.Equals, 2)
+		short.End(false, true)
+		c.Assert(running(), qt.Equals, 1)
+		long.End(false, true)
+		c.Assert(running(), qt.Equals, 0)
+	})
+}
--- a/internal/allocator/place.go
+++ b/internal/allocator/place.go
@@ -77,6 +77,28 @@
 	}
 }
 
+// Retell tells an owner that has given them up which places this router's requests
+// hold there.
+func (a *Allocator) Retell(owner string) {
+	a.placesMu.Lock()
+	places := slices.Collect(maps.Values(a.places))
+	a.placesMu.Unlock()
+	for _, p := range places {
+		p.mu.Lock()
+		if p.owner.Address == owner {
+			a.settle(p.owner, messenger.Settlement{Held: []messenger.Held{p.held()}})
+		}
+		p.mu.Unlock()
+	}
+}
+
+// held describes a place to an owner that does not know it.
+func (p *Place) held() messenger.Held {
+	h := messenger.Held{Ask: *p.ask, DeadlineIn: time.Until(p.ask.Deadline)}
+	h.Ask.FirstBy, h.Ask.Deadline, h.Ask.Arrived = time.Time{}, time.Time{}, time.Time{}
+	return h
+}
+
 // moveTo tells a place to another owner. An owner that was replaced by a new
 // process knows nothing of it, so the incarnation counts too.
 func (p *Place) moveTo(o messenger.Peer) {
@@ -87,9 +109,7 @@
 	}
 	was := p.owner
 	p.owner = o
-	h := messenger.Held{Ask: *p.ask, DeadlineIn: time.Until(p.ask.Deadline)}
-	h.Ask.FirstBy, h.Ask.Deadline, h.Ask.Arrived = time.Time{}, time.Time{}, time.Time{}
-	p.a.settle(o, messenger.Settlement{Held: []messenger.Held{h}})
+	p.a.settle(o, messenger.Settlement{Held: []messenger.Held{p.held()}})
 	if was.Name != o.Name {
 		p.a.withdraw(was, p.ask)
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -249,6 +249,10 @@
 	m.Lost = func(address string, outcomes int, err error) {
 		n.log("settle-lost", "peer", address, "outcomes", outcomes, "err", err)
 	}
+	m.Forgotten = func(address string) {
+		n.log("holds-told-again", "peer", address)
+		a.Retell(address)
+	}
 	m.Handlers = messenger.Handlers{
 		News: n.onNews, Ask: a.HandleAsk, Settle: a.HandleSettle, Fetch: n.onFetch,
 		Servers: n.onServersAsked,
--- a/internal/conductor/news.go
+++ b/internal/conductor/news.go
@@ -32,6 +32,9 @@
 	// listWithin is how long a router that has just started waits for the list of
 	// routers before it reads the store all the same.
 	listWithin = 300 * time.Millisecond
+	// maxAgeUsual is the age of a proof up to which keys count, for which the other times
+	// are meant.
+	maxAgeUsual = 3500 * time.Millisecond
 	// unprovenAfter is the age of the proof from which peers are asked for theirs.
 	unprovenAfter = 1500 * time.Millisecond
 )
@@ -49,7 +52,7 @@
 		n.roster.SetSilence(max(peerSilence, silentPeriods*p))
 		n.budgeter.Share(n.roster.Fleet())
 		age, proven := n.watcher.Age()
-		for _, peer := range n.roster.Due(p, !proven || age > unprovenAfter) {
+		for _, peer := range n.roster.Due(p, !proven || float64(age) > float64(unprovenAfter)*hurry(n.relayer.MaxAge)) {
 			go n.askNews(ctx, peer)
 		}
 		unheard := map[string]bool{}
@@ -153,16 +156,22 @@
 
 // askAfter returns the age of a proof from which this router asks the store.
 func (n *node) askAfter() time.Duration {
-	return askAfter(n.roster.Rank(), n.roster.Fleet(), n.period())
+	return askAfter(n.roster.Rank(), n.roster.Fleet(), n.period(), n.relayer.MaxAge)
 }
 
 // askAfter is the same for a router's place by name among the others, which decides
 // who asks first.
-func askAfter(rank, size int, period time.Duration) time.Duration {
+// It is shorter where keys have to be out of force so soon that a proof counts only for
+// less than maxAgeUsual.
+func askAfter(rank, size int, period, maxAge time.Duration) time.Duration {
 	most := askMost + askSpread*time.Duration(rank)/time.Duration(max(1, size))
-	return min(askFirst+time.Duration(rank)*max(askStep, period/2), most)
+	after := min(askFirst+time.Duration(rank)*max(askStep, period/2), most)
+	return time.Duration(float64(after) * hurry(maxAge))
 }
 
+// hurry is by which part waits for proofs are shorter than usual.
+func hurry(maxAge time.Duration) float64 { return min(1, float64(maxAge)/float64(maxAgeUsual)) }
+
 // news returns what the peer is told.
 func (n *node) news(peer string) messenger.News {
 	changed, serversAge, proven := n.watcher.ServersAge()
--- a/internal/conductor/news_test.go
+++ b/internal/conductor/news_test.go
@@ -15,7 +15,7 @@
 		period := max(newsPeriod, time.Duration(size)*time.Second/(2*newsRate))
 		var asked []time.Duration
 		for rank := range size {
-			asked = append(asked, askAfter(rank, size, period))
+			asked = append(asked, askAfter(rank, size, period, maxAgeUsual))
 		}
 		for i, from := range asked {
 			n := 0
@@ -29,3 +29,19 @@
 		c.Check(asked[size-1] <= 2*time.Second, qt.IsTrue, qt.Commentf("a change is in force within three seconds, the answer included"))
 	}
 }
+
+// TestStoreIsAskedBeforeProofsAreOld: also where keys have to be out of force soon, every
+// router asks the store by itself while four tenths are left of the age up to which a
+// proof counts.
+func TestStoreIsAskedBeforeProofsAreOld(t *testing.T) {
+	c := qt.New(t)
+	for _, revoke := range []time.Duration{time.Second, 2 * time.Second, 5 * time.Second, time.Minute} {
+		maxAge := time.Duration(float64(revoke) * keyMargin)
+		for _, size := range []int{1, 6, 30, 90, 390} {
+			for rank := range size {
+				at := askAfter(rank, size, newsPeriod, maxAge)
+				c.Check(at <= maxAge*6/10, qt.IsTrue, qt.Commentf("router %d of %d asks at %v, proofs count for %v", rank, size, at, maxAge))
+			}
+		}
+	}
+}
--- a/internal/messenger/garbage_test.go
+++ b/internal/messenger/garbage_test.go
@@ -32,7 +32,7 @@
 	handlers := Handlers{
 		News:    func(*News) News { return News{} },
 		Ask:     func(*AskArgs) AskReply { asked++; return AskReply{} },
-		Settle:  func(*Settlement) {},
+		Settle:  func(*Settlement) bool { return false },
 		Fetch:   func(uint64) FetchReply { return FetchReply{} },
 		Servers: func(uint64) ServersReply { return ServersReply{} },
 	}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -151,5 +151,8 @@
 	Deleted bool
 }
 
-// Nothing is the reply to a message that needs none.
-type Nothing struct{}
+// SettleReply answers a settlement.
+type SettleReply struct {
+	// Forgotten says that what the sender held was given up since it was last heard.
+	Forgotten bool
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -45,8 +45,10 @@
 	// News takes a peer's news in and returns the own.
 	News func(*News) News
 	// Ask blocks until the ask is decided.
-	Ask    func(*AskArgs) AskReply
-	Settle func(*Settlement)
+	Ask func(*AskArgs) AskReply
+	// Settle takes outcomes in. It says whether what the peer holds was given up
+	// meanwhile, so that the peer has to tell it again.
+	Settle func(*Settlement) (forgotten bool)
 	// Fetch returns the configuration if it is newer than a version.
 	Fetch func(after uint64) FetchReply
 	// Servers returns the backend servers' entries that changed after a version.
@@ -59,6 +61,8 @@
 	Handlers Handlers
 	// Lost is told of outcomes that could not be sent; nil drops it.
 	Lost func(address string, outcomes int, err error)
+	// Forgotten is told that a peer gave up what this router holds there; nil drops it.
+	Forgotten func(address string)
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -242,8 +246,13 @@
 			return
 		}
 		l.tellMu.Unlock()
-		if err := m.prompt(context.Background(), l.address, "Settle", &s, &Nothing{}); err != nil && m.Lost != nil {
+		var reply SettleReply
+		err := m.prompt(context.Background(), l.address, "Settle", &s, &reply)
+		switch {
+		case err != nil && m.Lost != nil:
 			m.Lost(l.address, s.size(), err)
+		case err == nil && reply.Forgotten && m.Forgotten != nil:
+			m.Forgotten(l.address)
 		}
 	}
 }
@@ -304,8 +313,8 @@
 }
 
 // Settle takes outcomes in.
-func (s *service) Settle(in *Settlement, _ *Nothing) error {
-	s.h.Settle(in)
+func (s *service) Settle(in *Settlement, out *SettleReply) error {
+	out.Forgotten = s.h.Settle(in)
 	return nil
 }
 
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -188,10 +188,15 @@
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
-		if watch != nil {
+		comment := onlyComments(event)
+		if comment && f.events == 0 {
+			// It goes with the first event: an answer has not begun with it.
+			continue
+		}
+		if watch != nil && !comment {
 			watch.extend(f.silence())
 		}
-		if !began {
+		if !began && !comment {
 			began = true
 			p.Began()
 		}
@@ -257,6 +262,17 @@
 	return nil
 }
 
+// onlyComments says whether a block of a stream carries no event. Servers may send
+// such blocks while they are stalled.
+func onlyComments(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the id of an event: its last id line counts.
 func eventID(event []byte) (id string, ok bool) {
 	for line := range bytes.Lines(event) {
--- /dev/null
+++ b/internal/sender/late_copy_test.go
@@ -0,0 +1,80 @@
+package sender
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestLateSecondCopyGoesToNobody: a server sends an answer once more, late, on a
+// connection that was taken into use again. Each caller gets its own answer, and a copy
+// that came while the connection was unused ends it.
+func TestLateSecondCopyGoesToNobody(t *testing.T) {
+	for _, late := range []string{"before the next request", "just before the next answer", "twice before the next answer"} {
+		t.Run(late, func(t *testing.T) {
+			c := qt.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer ln.Close()
+			go func() {
+				for {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					go copying(conn, late)
+				}
+			}()
+			s := &Sender{Dial: (&net.Dialer{}).DialContext}
+			for i := range 6 {
+				id := fmt.Sprint("request-", i)
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				a, err := s.Send(ctx, &Request{
+					Server: "s", Address: ln.Addr().String(), Method: "GET", Target: "/", Host: "h",
+					Header: http.Header{"Id": {id}}, Mine: func(h http.Header) bool { return h.Get("Id") == id },
+				})
+				c.Assert(err, qt.IsNil)
+				body, err := io.ReadAll(a.Body)
+				c.Assert(err, qt.IsNil)
+				c.Assert(string(body), qt.Equals, "for "+id)
+				a.Close(true)
+				cancel()
+			}
+		})
+	}
+}
+
+// copying answers requests, and sends each answer once more.
+func copying(conn net.Conn, late string) {
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	before := ""
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		id := req.Header.Get("Id")
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\nfor %s", id, len("for "+id), id)
+		out := answer
+		switch {
+		case late == "before the next request":
+			out += answer
+		case late == "just before the next answer":
+			out = before + answer
+		case late == "twice before the next answer":
+			out = before + before + answer
+		}
+		before = answer
+		if _, err := io.WriteString(conn, out); err != nil {
+			return
+		}
+	}
+}
