--- a/Makefile
+++ b/Makefile
@@ -30,11 +30,13 @@
 bench:
 	go test -run='^$$' -bench=. -benchmem ./...
 
-# soak plays random faults against the real programs: make soak SEED=1000 SEEDS=50 ROUTERS=6 FAULT_SECONDS=20
+# soak plays random faults against the real programs: make soak SEED=1000 SEEDS=50 ROUTERS=6 FAULT_SECONDS=20; DRAWN=true
+# draws a deployment for each seed
 SEED ?= 1000
 SEEDS ?= 50
 ROUTERS ?= 6
 FAULT_SECONDS ?= 20
+DRAWN ?= false
 soak:
 	go test -count=1 -v -timeout 3h -run TestSoak ./internal/soaker -soak.seed $(SEED) -soak.seeds $(SEEDS) \
-		-soak.routers $(ROUTERS) -soak.seconds $(FAULT_SECONDS)
+		-soak.routers $(ROUTERS) -soak.seconds $(FAULT_SECONDS) -soak.drawn=$(DRAWN)
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -23,6 +23,7 @@
 	seedsFlag   = flag.Int("soak.seeds", 1, "number of seeds to play from soak.seed on")
 	secondsFlag = flag.Int("soak.seconds", 12, "`seconds` of faults for each seed")
 	routersFlag = flag.Int("soak.routers", 4, "number of router processes")
+	drawnFlag   = flag.Bool("soak.drawn", false, "draw a deployment for each seed")
 	raceFlag    = flag.Bool("soak.race", true, "build the routers with the race detector")
 	dirFlag     = flag.String("soak.dir", "", "keep logs in this `directory`")
 )
@@ -65,7 +66,12 @@
 			if err := os.MkdirAll(logs, 0o755); err != nil {
 				t.Fatal(err)
 			}
-			s, err := newSoak(logs, binary, seed, *routersFlag)
+			d := usual(*routersFlag)
+			if *drawnFlag {
+				d = drawDeployment(rand.New(rand.NewPCG(seed, 7)), *routersFlag)
+				t.Log(d.String())
+			}
+			s, err := newSoak(logs, binary, seed, d)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/soaker/world_test.go
+++ b/internal/soaker/world_test.go
@@ -18,10 +18,8 @@
 const (
 	// stable is how long a disturbance counts after its end.
 	stable = 3 * time.Second
-	// configApply is when a configuration is in force after it was stored, revoke when
-	// a key that was taken away is out of force.
+	// configApply is when a configuration is in force after it was stored.
 	configApply = 2 * time.Second
-	revoke      = 5 * time.Second
 	// drain is when a leaving server gets nothing any more.
 	drain = 2 * time.Second
 	// recovery is when the routers serve again after the last fault.
@@ -36,6 +34,7 @@
 
 // soak is one run.
 type soak struct {
+	deployment
 	rng       *rand.Rand
 	site      *standin.Site
 	servers   []*standin.Server
@@ -146,7 +145,7 @@
 	if r.workspace != workspace {
 		bad("ran for workspace %q of %q", workspace, r.workspace)
 	}
-	if at, ok := s.revokedAt[r.key]; ok && r.sentAt.After(at.Add(revoke)) {
+	if at, ok := s.revokedAt[r.key]; ok && r.sentAt.After(at.Add(s.deployment.revoke)) {
 		bad("its key was taken away %v before it was sent", r.sentAt.Sub(at))
 	}
 	if at, ok := s.draining[server]; ok && now.After(at.Add(drain)) && s.calmSince(at) {
@@ -285,13 +284,15 @@
 }
 
 // newSoak starts stand-ins, links and routers.
-func newSoak(dir, binary string, seed uint64, routers int) (*soak, error) {
-	site, err := standin.NewSite(4, 3)
+func newSoak(dir, binary string, seed uint64, d deployment) (*soak, error) {
+	site, err := standin.NewSite(d.models, d.plain)
 	if err != nil {
 		return nil, err
 	}
+	site.Engine, site.Zones = d.engine, d.zones
 	s := &soak{
-		rng: rand.New(rand.NewPCG(seed, 2)), site: site, servers: append(slices.Clone(site.Models), site.Plain...),
+		deployment: d,
+		rng:        rand.New(rand.NewPCG(seed, 2)), site: site, servers: append(slices.Clone(site.Models), site.Plain...),
 		toServers: map[string]*link{}, requests: map[string]*request{}, revokedAt: map[string]time.Time{},
 		addedAt: map[string]time.Time{}, accepted: map[string]time.Time{}, draining: map[string]time.Time{},
 		served: map[string]int{}, asked: map[string]int{},
@@ -305,14 +306,15 @@
 		}
 		s.toServers[v.ID] = l
 		site.Place(v.ID, l.address())
-		v.Gap = 15 * time.Millisecond
+		v.Gap = d.gap
 		v.Ran = func(id, workspace string) { s.ran(v.ID, id, workspace) }
 		v.Conduct = func() standin.Conduct { return s.conduct(conductRNG) }
 		site.List(v.ID, serviceOf(site, v), "ready")
 	}
 	site.Declare(s.keys)
-	for i := range routers {
+	for i := range d.routers {
 		settings := site.Settings(fmt.Sprintf("router-%02d", i+1))
+		d.settings(i, &settings)
 		l, err := newLink(settings.Store.Address)
 		if err != nil {
 			return nil, err
@@ -324,7 +326,7 @@
 		}
 		s.toStore, s.processes = append(s.toStore, l), append(s.processes, p)
 	}
-	s.balancer = &balancer{processes: s.processes, misses: make([]atomic.Int32, routers), client: http.Client{Timeout: 500 * time.Millisecond}}
+	s.balancer = &balancer{processes: s.processes, misses: make([]atomic.Int32, len(d.routers)), client: http.Client{Timeout: 500 * time.Millisecond}}
 	for i := range s.balancer.misses {
 		s.balancer.misses[i].Store(2)
 	}
