--- a/internal/conductor/meter.go
+++ b/internal/conductor/meter.go
@@ -47,6 +47,9 @@
 
 func (m *meter) observe(s relayer.Summary) {
 	m.count("requests-" + s.Outcome)
+	if s.Reason != "" {
+		m.count("refused-" + s.Reason)
+	}
 	if s.Work == "" {
 		return
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -61,7 +61,9 @@
 type Summary struct {
 	Work    cataloger.Work
 	Outcome string
-	Status  int
+	// Reason is why the router refused the request, empty if it did not.
+	Reason string
+	Status int
 	First   time.Duration
 	Took    time.Duration
 	// Late says that the first event or answer missed the route's objective.
@@ -119,6 +121,8 @@
 	takenFor string
 	// busy says that the router refused the request for its own sake.
 	busy bool
+	// refused is why it was refused.
+	refused string
 }
 
 // ServeHTTP serves one request.
@@ -143,7 +147,7 @@
 	}
 	now := time.Now()
 	took := now.Sub(x.call.Arrived)
-	s := Summary{Outcome: x.outcome, Status: x.status, Took: took}
+	s := Summary{Outcome: x.outcome, Reason: x.refused, Status: x.status, Took: took}
 	kv := []any{
 		"request", x.call.ID, "outcome", x.outcome, "status", x.status, "millis", took.Milliseconds(),
 		"server", x.server, "sent", x.sent, "version", x.version(), "proof-age-ms", x.beliefs.Age.Milliseconds(),
@@ -364,6 +368,7 @@
 		x.fail(http.StatusBadGateway, reason, nil)
 		return
 	}
+	x.refused = reason
 	x.detail = append(x.detail, "reason", reason, "retry-after-ms", retryAfter.Milliseconds())
 	x.own(outcomeRefused, http.StatusServiceUnavailable, retryAfter)
 }
