Routers behind a cut do not take a larger part of the budget of repeats

The part of a router in the fleet's budget follows from the number of routers. In a large fleet a zone that is cut off counted only its own 60 of 300, and took five times its part; each side of a cut would have. TestZoneCutOffAndBack.

--- a/internal/messenger/hubs.go
+++ b/internal/messenger/hubs.go
@@ -27,10 +27,10 @@
 	hubShare = 0.5
 	// hubsOfLeaf is the number of hubs that a leaf exchanges news with.
 	hubsOfLeaf = 2
-	// LeafPeriod is the period of that, and leafSilence after how long without news a
+	// leafPeriod is the period of that, and leafSilence after how long without news a
 	// hub takes a leaf for lost.
-	LeafPeriod  = 300 * time.Millisecond
-	leafSilence = 7 * LeafPeriod / 2
+	leafPeriod  = 300 * time.Millisecond
+	leafSilence = 7 * leafPeriod / 2
 	// hearsayFor is how long a router counts as lost on the word of a hub, or after a
 	// call to it failed.
 	hearsayFor = 2 * time.Second
@@ -126,7 +126,7 @@
 		}
 	}
 	if !v.hub {
-		period = max(period, LeafPeriod)
+		period = max(period, leafPeriod)
 	}
 	var out []Peer
 	for name, m := range r.peers {
@@ -214,8 +214,8 @@
 	return replaced, regained, r.lose(r.now(), n.Lost)
 }
 
-// sample returns n of the peers, drawn at random, or all if they are no more, so that news stay small
-// in a large fleet and still reach everyone in a few rounds.
+// sample returns n of the peers, drawn at random, or all if they are no more, so that
+// news stay small in a large fleet and still reach everyone in a few rounds.
 func sample(peers []Peer, n int) []Peer {
 	if len(peers) <= n {
 		return peers
@@ -325,21 +325,27 @@
 	return zone, fleet
 }
 
-// Fleet returns the number of routers that are believed to run, this one included.
+// Fleet returns the number of routers that share what the fleet may do, this one
+// included. It is the largest of the last forgetAfter, as routers that are not heard
+// may run on behind a cut.
 func (r *Roster) Fleet() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.hubbed() {
-		return len(r.peers) + 1
-	}
-	fleet := r.fleet
-	if v := r.viewNow(r.now()); v.hub {
-		_, fleet = r.counts(v, r.part())
+	size := len(r.peers) + 1
+	now := r.now()
+	if r.hubbed() {
+		fleet := r.fleet
+		if v := r.viewNow(now); v.hub {
+			_, fleet = r.counts(v, r.part())
+		}
+		if fleet.Size > 0 {
+			size = fleet.Size
+		}
 	}
-	if fleet.Size == 0 {
-		return len(r.peers) + 1
+	if size >= r.most || now-r.mostAt > forgetAfter {
+		r.most, r.mostAt = size, now
 	}
-	return fleet.Size
+	return r.most
 }
 
 // Neighbours returns the number of routers that each hub exchanges news with.
--- a/internal/messenger/hubs_test.go
+++ b/internal/messenger/hubs_test.go
@@ -190,9 +190,16 @@
 	c := qt.New(t)
 	w := newTown(300)
 	w.run(2 * time.Second)
+	for _, name := range w.names() {
+		w.rosters[name].Fleet()
+	}
 	zone := func(name string) string { return w.rosters[name].Self.AvailabilityZone }
 	w.cut = func(a, b string) bool { return (zone(a) == "b") != (zone(b) == "b") }
 	w.run(5 * time.Second)
+	// Nobody takes more of what the fleet may do together.
+	for _, name := range []string{"r000", "r001", "r298", "r296"} {
+		c.Assert(w.rosters[name].Fleet(), qt.Equals, 300, qt.Commentf("%s", name))
+	}
 	// Each side goes on with its own servers.
 	c.Assert(zone(w.owner("r001", "s", "b")), qt.Equals, "b")
 	c.Assert(zone(w.owner("r000", "s", "a")), qt.Equals, "a")
--- a/internal/messenger/roster.go
+++ b/internal/messenger/roster.go
@@ -24,6 +24,9 @@
 	stopping bool
 	// zone and fleet are what a hub told this leaf.
 	zone, fleet Count
+	// most is the largest size of the fleet lately, last seen at mostAt.
+	most   int
+	mostAt time.Duration
 	// view is what requests see; it is made anew after changes and viewPeriod.
 	view   *view
 	viewAt time.Duration
