Asks of a router that is not heard are refused and not left waiting

An owner that gave up a silent router's holds dropped its waiting asks without a word: a router that was only slow waited until its callers' deadlines, and the owner ticked each 20 ms for good. Found by reading, as the word of hubs makes such losses likelier.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -29,9 +29,9 @@
 	// owners is the number of routers that are asked before this one decides
 	// alone.
 	owners = 2
-	// loadKept is how long a load counts: its owner tells no more of a server that
-	// nobody has asked for, which idles then.
-	loadKept = 5 * time.Second
+	// retryUnheard is told where an owner has not heard the router that asked; the next
+	// try reaches another one.
+	retryUnheard = 300 * time.Millisecond
 	// retryNoServer is told when a service has no server.
 	retryNoServer = time.Second
 )
@@ -80,6 +80,8 @@
 const (
 	ReasonNoServer admitter.Reason = "no-server"
 	ReasonCanceled admitter.Reason = "caller-gone"
+	// ReasonUnheard: the owner has not heard the router that asked.
+	ReasonUnheard admitter.Reason = "router-unheard"
 )
 
 // Allocator allocates for one router. All fields must be set.
@@ -367,64 +369,20 @@
 	return forgotten
 }
 
-// Loads returns the servers' loads as last heard.
-func (a *Allocator) Loads() map[string]steerer.Load {
-	a.loadsMu.RLock()
-	defer a.loadsMu.RUnlock()
-	return a.loads
-}
-
-// Tell returns what this router tells a peer of the servers it owns: their loads
-// and what the peer, who has its grants up to a number, lacks of them. Seen is
-// what this router has of the peer's.
-func (a *Allocator) Tell(peer string, has uint64) (loads []admitter.Load, grants messenger.Grants, seen uint64) {
-	a.mu.Lock()
-	now := time.Now()
-	loads = a.Admitter.Loads(now)
-	grants.Tokens, grants.Till = a.Admitter.Granted(now, has)
-	seen = a.Admitter.Seen(peer)
-	a.mu.Unlock()
-	a.merge(loads)
-	return loads, grants, seen
-}
-
-// Hear takes in what a peer tells of the servers it owns.
-func (a *Allocator) Hear(peer string, loads []admitter.Load, g messenger.Grants) {
-	a.do(func(now time.Time, ad *admitter.Admitter) { ad.Heard(now, peer, g.Tokens, g.Till) })
-	a.merge(loads)
-}
-
-// merge replaces the map of loads, so that readers need no lock for long.
-func (a *Allocator) merge(loads []admitter.Load) {
-	if len(loads) == 0 {
-		return
-	}
-	a.loadsMu.Lock()
-	defer a.loadsMu.Unlock()
-	now := time.Now()
-	if a.heardAt == nil {
-		a.heardAt = map[string]time.Time{}
-	}
-	m := make(map[string]steerer.Load, len(a.loads)+len(loads))
-	for k, v := range a.loads {
-		if now.Sub(a.heardAt[k]) < loadKept {
-			m[k] = v
-		} else {
-			delete(a.heardAt, k)
-		}
-	}
-	for _, l := range loads {
-		m[l.Server] = l
-		a.heardAt[l.Server] = now
-	}
-	a.loads = m
-}
-
 // Forget drops what a router holds that is gone. One that was only silent tells it again
 // once it is heard.
 func (a *Allocator) Forget(router string) {
 	a.do(func(now time.Time, ad *admitter.Admitter) {
 		ad.Forget(now, router)
+		for k, ch := range a.waiters {
+			if k.router == router {
+				// It may run all the same, and its caller must not wait for nothing.
+				delete(a.waiters, k)
+				ch <- admitter.Decision{
+					Ask: &admitter.Ask{Router: k.router, ID: k.id}, Reason: ReasonUnheard, RetryAfter: retryUnheard,
+				}
+			}
+		}
 		if a.forgotten == nil {
 			a.forgotten = map[string]bool{}
 		}
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -217,3 +217,41 @@
 		c.Assert(running(), qt.Equals, 0)
 	})
 }
+
+// TestSilentRoutersAsksAreAnswered: what a router that is not heard has asked for is
+// refused and not left waiting.
+func TestSilentRoutersAsksAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := &network{routers: map[string]*router{}, cut: map[string]bool{}}
+		defer n.close()
+		owner, other := n.pair()
+		// The engine reads for seconds, so that the next ask waits.
+		big := need()
+		big.Prompt = 80_000
+		p, r := other.Acquire(t.Context(), big)
+		c.Assert(r, qt.IsNil)
+		patient := need()
+		patient.FirstBy = time.Now().Add(10 * time.Second)
+		refused := make(chan *Refusal, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			_, r := other.Acquire(ctx, patient)
+			refused <- r
+		}()
+		synctest.Wait()
+		c.Assert(owner.Dump()[0].Waiting, qt.Equals, 1)
+		owner.Forget(other.Self.Name)
+		synctest.Wait()
+		select {
+		case r := <-refused:
+			c.Assert(r, qt.IsNotNil)
+			c.Assert(r.Reason, qt.Equals, ReasonUnheard)
+		default:
+			t.Error("the ask waits for nobody")
+		}
+		p.End(false, true)
+		synctest.Wait()
+	})
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -64,8 +64,8 @@
 	// Reason is why the router refused the request, empty if it did not.
 	Reason string
 	Status int
-	First   time.Duration
-	Took    time.Duration
+	First  time.Duration
+	Took   time.Duration
 	// Late says that the first event or answer missed the route's objective.
 	Late bool
 }
