--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -187,7 +187,7 @@
 	return watcher.New(&watcher.Watcher{
 		Operator: s.OperatorTable(), Servers: s.ServerTable(),
 		DecodeCatalog: platform.DecodeCatalog, DecodeServer: platform.DecodeServer,
-		ConfigKey: platform.ConfigKey, Now: timer.Boot, AskAfter: n.askAfter, StartBy: n.startBy, Log: n.log,
+		ConfigKey: platform.ConfigKey, Now: timer.Boot, AskAfter: n.askAfter, StartBy: n.startBy, MaxBackoff: n.storeBackoff, Log: n.log,
 	})
 }
 
--- a/internal/conductor/news.go
+++ b/internal/conductor/news.go
@@ -29,6 +29,11 @@
 	askStep   = 150 * time.Millisecond
 	askMost   = 1200 * time.Millisecond
 	askSpread = 800 * time.Millisecond
+	// backoffStep is by what the longest wait after failed calls to the store grows with
+	// each rank, up to backoffMost: while the store is away, routers that come late by
+	// rank learn of its return from the others.
+	backoffStep = 100 * time.Millisecond
+	backoffMost = 2 * time.Second
 	// listWithin is how long a router that has just started waits for the list of
 	// routers before it reads the store all the same.
 	listWithin = 300 * time.Millisecond
@@ -143,6 +148,11 @@
 	return n.news(in.From.Name)
 }
 
+// storeBackoff returns the longest wait after failed calls to the store.
+func (n *node) storeBackoff() time.Duration {
+	return time.Duration(float64(min(backoffStep*time.Duration(n.roster.Rank()), backoffMost)) * hurry(n.relayer.MaxAge))
+}
+
 // startBy returns until when a router that has just started waits for what others
 // know: those that come first by rank read the store at once, as soon as the list of
 // routers is read, which tells the rank.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -75,6 +75,9 @@
 	// AskAfter returns the age of a proof from which this router asks the store
 	// itself. Routers differ in it, so that one asks and the others learn of it.
 	AskAfter func() time.Duration
+	// MaxBackoff returns the longest wait after failed calls; nil means maxBackoff. Where
+	// it grows with a router's rank, few routers look for all whether the store is back.
+	MaxBackoff func() time.Duration
 	// StartBy returns until when, on the boot clock, a router that has just started
 	// leaves it to its peers to tell what they know; nil means that it does not.
 	StartBy func() time.Duration
@@ -334,7 +337,11 @@
 		}
 		// Jitter keeps the routers from returning together.
 		pauser.Pause(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, maxBackoff)
+		backoff = min(2*backoff, w.maxBackoff())
+		if _, proven := w.age(f); proven {
+			// A peer may have got an answer meanwhile.
+			w.pause(ctx, f)
+		}
 	}
 }
 
@@ -344,6 +351,13 @@
 	maxPause = 250 * time.Millisecond
 )
 
+func (w *Watcher) maxBackoff() time.Duration {
+	if w.MaxBackoff == nil {
+		return maxBackoff
+	}
+	return max(maxBackoff, w.MaxBackoff())
+}
+
 // hold waits for the peers' proof at the start of the process: where many start
 // together, a few of them read the store for all.
 func (w *Watcher) hold(ctx context.Context, f *feed) {
