--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -268,8 +268,8 @@
 }
 
 // sort orders the queue: streams that were cut first, as refusing one wastes what
-// was done of it, then those that can still be in time, then by the workspaces' usage in steps, then by how long they are in steps, then by when
-// the first event is wanted.
+// was done of it, then those that can still be in time, then by the workspaces' usage
+// in steps, then by how long they are in steps, then by when the first event is wanted.
 func (a *Admitter) sort(now time.Time, e *engine) {
 	steps := map[string]int{}
 	length := make(map[*Ask]int, len(e.queue))
--- a/internal/rehearser/bound.go
+++ b/internal/rehearser/bound.go
@@ -46,7 +46,8 @@
 	return earned / owed
 }
 
-// seconds is what a request takes of an engine's time while all places are used.
+// seconds is what a request takes of an engine's time while all places are used; whole
+// says that its shared part has to be read too.
 func (m *Model) seconds(r *request, whole bool) float64 {
 	unread := r.prompt
 	if !whole {
