Refusals do not starve the streams of a flooded router

Callers of a workspace in a flood got a sixth of what the best served one got: the router of 0.192 cores that they reach refused 2,700 requests a second on connections that it keeps, at 26 us each, and 600 to 800 on new ones, at 80 us: two thirds of its processor. The lag of that lowered its limit to the least (57 of 153), and 23 to 64 began in a second.

Cause: what refusing costs was bounded and made cheap for connections that are turned away only.

Change: a refusal for the router's own sake takes the connection from the HTTP server. The refuser reads each further request in one read, answers in one write, and gives the connection back with the first request that may be served. Both kinds of refusal share a third of the processor. A crowded router refuses what has arrived on a new connection without polling that.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -104,6 +104,7 @@
 
 	peers     net.Listener
 	bounded   *boundedListener
+	returned  *returnedListener
 	callers   *http.Server
 	ready     *http.Server
 	operators *http.Server
@@ -233,7 +234,9 @@
 		Repeat:  func(service string) bool { return b.Repeat(time.Now(), service) },
 		Closing: n.closing,
 		Busy:    n.pressure.busy,
+		Crowded: n.pressure.crowded,
 		Done:    n.pressure.done,
+		Refuse:  n.refuseKept,
 		Away:    func() bool { return n.backpressure.left(time.Now()) },
 		Buffer:  &relayer.Budget{Bytes: int64(float64(n.settings.Limits.MemoryMB<<20) * bodyShare)},
 		Log:     n.log, LogRefusal: n.refusals.allow, Observe: n.meter.observe,
--- a/internal/conductor/idle.go
+++ b/internal/conductor/idle.go
@@ -54,6 +54,10 @@
 	}
 }
 
+// wait and use tell of a connection whose requests are refused beside the HTTP server.
+func (i *idleConns) wait(c net.Conn) { i.note(c, http.StateIdle) }
+func (i *idleConns) use(c net.Conn)  { i.note(c, http.StateActive) }
+
 // remove takes a connection off the list. It says whether the connection had been
 // retired meanwhile.
 func (i *idleConns) remove(c *boundedConn) (retired bool) {
--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -9,6 +9,7 @@
 	"papayapaddle/internal/failer"
 	"papayapaddle/internal/linker"
 	"papayapaddle/internal/pauser"
+	"papayapaddle/internal/refuser"
 	"papayapaddle/platform"
 )
 
@@ -63,8 +64,15 @@
 	n.pressure.looked = n.onLook
 	n.pressure.blind = func(err error) { n.log("processor-use-unreadable", "err", err) }
 	bounded.room = n.pressure.room
+	if bounded.sockets, err = refuser.NewAccepter(callers); err != nil {
+		return failer.Wrap("listen", KindListen, err)
+	}
 	n.bounded = bounded
-	bounded.pace = turnPace(n.settings.Limits.CPUShare)
+	n.returned = newReturnedListener(callers.Addr())
+	bounded.refuser = &refuser.Refuser{
+		Judge: n.judgeKept, Pace: refusalPace(n.settings.Limits.CPUShare), Cost: refuseCost,
+		Unused: bounded.idle.wait, Used: bounded.idle.use, Return: n.returned.take,
+	}
 	n.pressure.report = func() { n.reportPressure(bounded.open.Load()) }
 	var ctx context.Context
 	ctx, n.cancel = context.WithCancel(context.Background())
@@ -78,6 +86,7 @@
 	go n.serve("ready", func() error { return n.ready.Serve(ready) })
 	go n.serve("operators", func() error { return n.operators.Serve(operators) })
 	go n.serve("callers", func() error { return n.callers.Serve(bounded) })
+	go n.serve("refused-callers", func() error { return n.callers.Serve(n.returned) })
 	go n.pressure.run(ctx)
 	go n.watcher.Run(ctx)
 	go n.allocator.Run(ctx)
@@ -138,6 +147,7 @@
 	n.closingAt.CompareAndSwap(nil, &now)
 	n.cancel()
 	n.messenger.Close()
+	n.bounded.idle.evictAll()
 	for _, s := range []*http.Server{n.callers, n.ready, n.operators} {
 		// What is open is cut.
 		_ = s.Close()
--- a/internal/conductor/pressure.go
+++ b/internal/conductor/pressure.go
@@ -224,9 +224,8 @@
 // busy says why a request cannot be taken, or nothing; done must be called at the
 // end of one that is taken.
 func (p *pressure) busy(work cataloger.Work, workspace string, active int64) string {
-	why := p.judge(work, workspace, active)
+	why := p.crowded(work, workspace, active)
 	if why != "" {
-		p.refused.Add(1)
 		return why
 	}
 	p.taken.Add(1)
@@ -234,6 +233,15 @@
 	return ""
 }
 
+// crowded says why a request cannot be taken, or nothing.
+func (p *pressure) crowded(work cataloger.Work, workspace string, active int64) string {
+	why := p.judge(work, workspace, active)
+	if why != "" {
+		p.refused.Add(1)
+	}
+	return why
+}
+
 func (p *pressure) done(workspace string) { p.occupied.remove(workspace) }
 
 func (p *pressure) judge(work cataloger.Work, workspace string, active int64) string {
--- a/internal/linker/dialer.go
+++ b/internal/linker/dialer.go
@@ -47,9 +47,13 @@
 // Accepting returns a listener whose connections do not fail by themselves until
 // Probe was called on them, which saves half of the system calls for one that is
 // closed soon.
-func Accepting(address string) (net.Listener, error) {
+func Accepting(address string) (*net.TCPListener, error) {
 	l := &net.ListenConfig{KeepAlive: -1}
-	return l.Listen(context.Background(), "tcp", address)
+	ln, err := l.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return ln.(*net.TCPListener), nil
 }
 
 // Probe makes a connection fail once the other side has been silent for about
--- /dev/null
+++ b/internal/refuser/refuser_test.go
@@ -0,0 +1,228 @@
+package refuser
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// front is an HTTP server whose refusals a Refuser takes over. Requests to /refused are
+// refused, all others served.
+type front struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+	r     *Refuser
+	// served and refused count the requests that the server and the refuser answered.
+	mu              sync.Mutex
+	served, refused int
+}
+
+// prefixed is a connection of which something was read before.
+type prefixed struct {
+	net.Conn
+	read []byte
+}
+
+func (p *prefixed) Read(b []byte) (int, error) {
+	if len(p.read) > 0 {
+		n := copy(b, p.read)
+		p.read = p.read[n:]
+		return n, nil
+	}
+	return p.Conn.Read(b)
+}
+
+func (f *front) Accept() (net.Conn, error) {
+	select {
+	case c := <-f.conns:
+		return c, nil
+	case <-f.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (f *front) Close() error {
+	f.once.Do(func() { close(f.done) })
+	return nil
+}
+
+func (f *front) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (f *front) header(req *http.Request) http.Header {
+	return http.Header{"Id": req.Header["Id"]}
+}
+
+func (f *front) judge(req *http.Request) *Refusal {
+	if !strings.HasPrefix(req.URL.Path, "/refused") {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused++
+	return &Refusal{Header: f.header(req), Close: req.URL.Path == "/refused/last"}
+}
+
+func (f *front) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if v := f.judge(req); v != nil && Keeps(req) {
+		c, rw, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		read, _ := rw.Reader.Peek(rw.Reader.Buffered())
+		go f.r.Keep(c, read, req.ContentLength, v)
+		return
+	} else if v != nil {
+		w.Header()["Id"] = req.Header["Id"]
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	f.mu.Lock()
+	f.served++
+	f.mu.Unlock()
+	b, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	w.Header()["Id"] = req.Header["Id"]
+	fmt.Fprintf(w, "%d bytes", len(b))
+}
+
+func newFront() (*front, func()) {
+	f := &front{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+	f.r = &Refuser{Judge: f.judge, Unused: func(net.Conn) {}, Used: func(net.Conn) {}, Return: func(c net.Conn, read []byte) bool {
+		f.conns <- &prefixed{Conn: c, read: read}
+		return true
+	}}
+	s := &http.Server{Handler: f}
+	go func() { _ = s.Serve(f) }()
+	return f, func() { _ = s.Close() }
+}
+
+// connect returns the caller's end of a new connection.
+func (f *front) connect(t rapid.TB) net.Conn {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	there, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.conns <- there
+	return c
+}
+
+// TestRefusedAndServedOnOneConnection sends requests in random pieces, with bodies of all
+// kinds, and checks that each gets its own answer, in order.
+func TestRefusedAndServedOnOneConnection(t *testing.T) {
+	f, end := newFront()
+	defer end()
+	rapid.Check(t, func(t *rapid.T) {
+		c := f.connect(t)
+		defer c.Close()
+		type sent struct {
+			refused bool
+			answer  string
+		}
+		var all []sent
+		var out strings.Builder
+		for i := range rapid.IntRange(1, 12).Draw(t, "requests") {
+			s := sent{refused: rapid.Bool().Draw(t, "refused")}
+			path := "/served"
+			if s.refused {
+				path = "/refused"
+			}
+			size := rapid.SampledFrom([]int{0, 1, 700, bufferBytes, 3 * bufferBytes}).Draw(t, "body")
+			body := strings.Repeat("b", size)
+			fmt.Fprintf(&out, "POST %s HTTP/1.1\r\nHost: h\r\nId: %d\r\n", path, i)
+			switch rapid.SampledFrom([]string{"length", "chunked", "long-head"}).Draw(t, "kind") {
+			case "chunked":
+				fmt.Fprintf(&out, "Transfer-Encoding: chunked\r\n\r\n")
+				if size > 0 {
+					fmt.Fprintf(&out, "%x\r\n%s\r\n", size, body)
+				}
+				fmt.Fprintf(&out, "0\r\n\r\n")
+			case "long-head":
+				fmt.Fprintf(&out, "Long: %s\r\n", strings.Repeat("l", bufferBytes))
+				fallthrough
+			default:
+				fmt.Fprintf(&out, "Content-Length: %d\r\n\r\n%s", size, body)
+			}
+			if !s.refused {
+				s.answer = fmt.Sprintf("%d bytes", size)
+			}
+			all = append(all, s)
+		}
+		pieces := []int{}
+		for left := out.Len(); left > 0; {
+			n := min(left, rapid.SampledFrom([]int{1, 30, 500, 9000, 100_000}).Draw(t, "piece"))
+			pieces, left = append(pieces, n), left-n
+			if len(pieces) > 200 {
+				pieces, left = append(pieces, left), 0
+			}
+		}
+		go func() {
+			text := out.String()
+			for _, n := range pieces {
+				// A connection that ended shows where its answers are read.
+				_, _ = io.WriteString(c, text[:n])
+				text = text[n:]
+			}
+		}()
+		br := bufio.NewReader(c)
+		for i, s := range all {
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				t.Fatalf("request %d: %v", i, err)
+			}
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				t.Fatalf("request %d: %v", i, err)
+			}
+			if id := resp.Header.Get("Id"); id != fmt.Sprint(i) || (resp.StatusCode == http.StatusServiceUnavailable) != s.refused || string(b) != s.answer {
+				t.Fatalf("request %d: id %s, status %d, %q", i, id, resp.StatusCode, b)
+			}
+		}
+	})
+}
+
+// TestRefusalsStayBesideTheServer checks that the server sees only the first of many
+// requests that are refused.
+func TestRefusalsStayBesideTheServer(t *testing.T) {
+	c := qt.New(t)
+	f, end := newFront()
+	defer end()
+	conn := f.connect(t)
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	for _, path := range []string{"/refused", "/refused", "/served", "/refused", "/refused/last"} {
+		_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n", path)
+		c.Assert(err, qt.IsNil)
+		resp, err := http.ReadResponse(br, nil)
+		c.Assert(err, qt.IsNil)
+		_, err = io.Copy(io.Discard, resp.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.StatusCode == http.StatusOK, qt.Equals, path == "/served")
+		c.Assert(resp.Close, qt.Equals, path == "/refused/last")
+	}
+	_, err := br.ReadByte()
+	c.Assert(err, qt.Equals, io.EOF)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.Assert(f.served, qt.Equals, 1)
+	c.Assert(f.refused, qt.Equals, 4)
+}
--- /dev/null
+++ b/internal/refuser/socket.go
@@ -0,0 +1,102 @@
+package refuser
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+)
+
+// Socket is a new connection that the runtime does not poll yet. A connection that is
+// refused at once never needs to be polled, which saves most of its system calls.
+type Socket int
+
+// Accepter accepts sockets from a listener, beside that.
+type Accepter struct {
+	file *os.File
+	raw  syscall.RawConn
+}
+
+// NewAccepter returns an accepter of a listener.
+func NewAccepter(ln *net.TCPListener) (*Accepter, error) {
+	f, err := ln.File()
+	if err != nil {
+		return nil, err
+	}
+	raw, err := f.SyscallConn()
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return &Accepter{file: f, raw: raw}, nil
+}
+
+// Close ends the accepter; the listener stays.
+func (a *Accepter) Close() error { return a.file.Close() }
+
+// Accept waits for the next connection.
+func (a *Accepter) Accept() (Socket, error) {
+	fd, failed := -1, error(nil)
+	err := a.raw.Read(func(l uintptr) bool {
+		for {
+			fd, _, failed = syscall.Accept4(int(l), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if !errors.Is(failed, syscall.EINTR) && !errors.Is(failed, syscall.ECONNABORTED) {
+				break
+			}
+		}
+		return !errors.Is(failed, syscall.EAGAIN)
+	})
+	if err != nil {
+		return -1, err
+	}
+	if failed != nil {
+		return -1, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", failed)}
+	}
+	return Socket(fd), nil
+}
+
+// Close closes the connection.
+func (s Socket) Close() error { return syscall.Close(int(s)) }
+
+// Conn makes a connection of it that the runtime polls.
+func (s Socket) Conn() (net.Conn, error) {
+	f := os.NewFile(uintptr(s), "caller")
+	defer f.Close()
+	return net.FileConn(f)
+}
+
+// AtOnce refuses a request that has arrived whole on a new connection, and closes that. If
+// it has not, or may be served, done is false, and read is what was read.
+func (r *Refuser) AtOnce(s Socket, judge func(*http.Request) *Refusal) (read []byte, done bool) {
+	b := buffers.Get().(*buffer)
+	defer buffers.Put(b)
+	b.n = 0
+	for b.n < len(b.bytes) {
+		n, err := syscall.Read(int(s), b.bytes[b.n:])
+		if errors.Is(err, syscall.EAGAIN) {
+			break
+		}
+		if err != nil || n <= 0 {
+			// Its caller has left; nothing was answered, and nothing will run.
+			_ = s.Close()
+			return nil, true
+		}
+		b.n += n
+		req, head := parse(b.bytes[:b.n])
+		if req == nil || !Keeps(req) || req.ContentLength > int64(b.n-head) {
+			continue
+		}
+		f := judge(req)
+		if f == nil {
+			break
+		}
+		f.Close = true
+		// The answer fits what a new connection takes; a caller who has left needs none.
+		_, _ = syscall.Write(int(s), f.bytes())
+		_ = s.Close()
+		return nil, true
+	}
+	return bytes.Clone(b.bytes[:b.n]), false
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -39,9 +39,15 @@
 	// end what is still open; zero if it is not.
 	Closing func() (began, end time.Time)
 	// Busy says why the router itself cannot take a workspace's request while so many
-	// are served, or nothing; then Done is told when the request has ended.
-	Busy func(work cataloger.Work, workspace string, active int64) string
-	Done func(workspace string)
+	// are served, or nothing; then Done is told when the request has ended. Crowded says
+	// the same without taking the request.
+	Busy    func(work cataloger.Work, workspace string, active int64) string
+	Crowded func(work cataloger.Work, workspace string, active int64) string
+	Done    func(workspace string)
+	// Refuse refuses a request for the router's own sake in place of the HTTP server,
+	// and may go on to refuse others on its connection. False means that it cannot; nil
+	// never can.
+	Refuse func(w http.ResponseWriter, req *http.Request, h http.Header) bool
 	// Away says that callers who open a new connection reach other routers; nil says
 	// that they may not.
 	Away func() bool
@@ -227,41 +233,85 @@
 	return x.authorize() && x.pickService()
 }
 
-// authorize checks the request against the configuration in force now. A
-// configuration that cannot be proven current proves neither that a key is
-// still valid nor that a route or key does not exist.
+// authorize checks the request against the configuration in force now.
 func (x *exchange) authorize() bool {
-	c := x.beliefs.Catalog
-	if c == nil {
-		x.refuse("no-configuration", retrySoon)
-		return false
-	}
-	fresh := x.beliefs.Proven && x.beliefs.Age <= x.MaxAge
-	route := c.Route(x.req.Host, x.req.URL.EscapedPath())
-	if route == nil {
-		if !fresh {
-			x.refuse("configuration-unproven", RetryElsewhere)
-			return false
-		}
-		x.reject(http.StatusNotFound, "no-route")
-		return false
+	route, workspace, d := x.match(x.beliefs, x.req, x.call.Key)
+	if route != nil {
+		x.call.Route, x.call.Workspace = route, workspace
 	}
-	x.call.Route = route
-	if route.Public || !c.Keyed {
-		x.call.Workspace = ""
+	switch {
+	case d == nil:
 		return true
+	case d.status == http.StatusServiceUnavailable:
+		x.refuse(d.reason, d.retryAfter)
+	default:
+		x.reject(d.status, d.reason)
 	}
-	if !fresh {
-		x.refuse("configuration-unproven", RetryElsewhere)
-		return false
+	return false
+}
+
+// denial is why the configuration does not let a request through. The status 503 is a
+// refusal.
+type denial struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+}
+
+// match finds the route and the workspace of a request. A configuration that cannot be
+// proven current proves neither that a key is still valid nor that a route or key does
+// not exist.
+func (r *Relayer) match(b Beliefs, req *http.Request, key string) (route *cataloger.Route, workspace string, d *denial) {
+	c := b.Catalog
+	if c == nil {
+		return nil, "", &denial{http.StatusServiceUnavailable, "no-configuration", retrySoon}
 	}
-	w := c.Workspace(x.call.Key)
+	unproven := &denial{http.StatusServiceUnavailable, "configuration-unproven", RetryElsewhere}
+	fresh := b.Proven && b.Age <= r.MaxAge
+	route = c.Route(req.Host, req.URL.EscapedPath())
+	switch {
+	case route == nil && !fresh:
+		return nil, "", unproven
+	case route == nil:
+		return nil, "", &denial{status: http.StatusNotFound, reason: "no-route"}
+	case route.Public || !c.Keyed:
+		return route, "", nil
+	case !fresh:
+		return route, "", unproven
+	}
+	w := c.Workspace(key)
 	if w == nil {
-		x.reject(http.StatusUnauthorized, "unknown-key")
-		return false
+		return route, "", &denial{status: http.StatusUnauthorized, reason: "unknown-key"}
 	}
-	x.call.Workspace = w.Name
-	return true
+	return route, w.Name, nil
+}
+
+// Overload is a request that the router refuses for its own sake.
+type Overload struct {
+	Envelope
+	Workspace string
+	Reason    string
+}
+
+// Overloaded says that the router would refuse a request for its own sake; nil means that
+// it would not, or for another reason.
+func (r *Relayer) Overloaded(req *http.Request) *Overload {
+	e, err := r.Codec.DecodeRequest(req.Header)
+	if err != nil {
+		return nil
+	}
+	route, workspace, d := r.match(r.Beliefs(), req, e.Key)
+	if d != nil {
+		return nil
+	}
+	if began, _ := r.Closing(); !began.IsZero() {
+		return nil
+	}
+	why := r.Crowded(route.Work, workspace, r.active.Load()+1)
+	if why == "" {
+		return nil
+	}
+	return &Overload{Envelope: e, Workspace: workspace, Reason: why}
 }
 
 func (x *exchange) pickService() bool {
@@ -290,13 +340,32 @@
 			x.w.Header().Set("Connection", "close")
 		}
 		x.busy = true
-		x.refuse(why, RetryElsewhere)
+		after := RetryElsewhere
+		if !x.refuseBeside(why, after) {
+			x.refuse(why, after)
+		}
 		return false
 	}
 	x.taken, x.takenFor = true, x.call.Workspace
 	return true
 }
 
+// refuseBeside lets a request be refused beside the HTTP server.
+func (x *exchange) refuseBeside(why string, after time.Duration) bool {
+	if x.Refuse == nil || x.w.Header().Get("Connection") != "" {
+		return false
+	}
+	h := http.Header{}
+	x.Codec.EncodeRefusal(h, x.call.ID, after)
+	if !x.Refuse(x.w, x.req, h) {
+		return false
+	}
+	x.refused = why
+	x.detail = append(x.detail, "reason", why, "retry-after-ms", after.Milliseconds())
+	x.end(outcomeRefused, http.StatusServiceUnavailable)
+	return true
+}
+
 // tooLate says whether a router that shuts down could not finish the request
 // any more.
 func (x *exchange) tooLate() bool {
