New connections do not wait for all kept ones whose requests are refused

Cause: each kept connection reserved its part of the pace at once, up to 2,300 of them, and the loop that accepts connections queued behind them all, for each connection anew.

Change: one kept connection at a time waits for the pace; the others wait for their turn.

--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -47,6 +47,11 @@
 	// Cost.
 	Pace *rate.Limiter
 	Cost time.Duration
+
+	// turn is held by the one kept connection that waits for the pace. The others wait for
+	// the turn, so that new connections wait for one of them and not for all.
+	turn     chan struct{}
+	makeTurn sync.Once
 	// Unused is told that a connection waits for its next request, and Used that it does
 	// not any more. In between a deadline in the past ends the connection, unless
 	// something was read from it.
@@ -67,6 +72,14 @@
 	}
 }
 
+// waitTurn waits until the pace allows one more refusal on a kept connection.
+func (r *Refuser) waitTurn() {
+	r.makeTurn.Do(func() { r.turn = make(chan struct{}, 1) })
+	r.turn <- struct{}{}
+	r.Wait(r.Cost)
+	<-r.turn
+}
+
 // Keeps says whether a connection can be kept by Keep after this request was refused.
 func Keeps(req *http.Request) bool {
 	return req.ProtoAtLeast(1, 1) && !req.Close && len(req.TransferEncoding) == 0 && req.ContentLength >= 0 &&
@@ -144,7 +157,7 @@
 // refuse reads the body that begins at a place of the buffer, and answers. It says
 // whether the connection is kept; the buffer then holds what follows the body.
 func (r *Refuser) refuse(c net.Conn, b *buffer, at int, body int64, f *Refusal) bool {
-	r.Wait(r.Cost)
+	r.waitTurn()
 	rest := body - int64(b.n-at)
 	if rest < 0 {
 		b.n = copy(b.bytes[:], b.bytes[int64(at)+body:b.n])
--- a/internal/refuser/refuser_test.go
+++ b/internal/refuser/refuser_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,8 +10,11 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/time/rate"
 	"pgregory.net/rapid"
 )
 
@@ -200,6 +204,41 @@
 	})
 }
 
+// TestKeptConnectionsLeaveTheListenerItsTurn checks that new connections are accepted at
+// half of the pace at least, however many kept ones have requests to refuse.
+func TestKeptConnectionsLeaveTheListenerItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			perSecond = 64_000 // microseconds of processor time
+			cost      = 25 * time.Microsecond
+			accepts   = 1000
+		)
+		r := &Refuser{Pace: rate.NewLimiter(perSecond, 100), Cost: cost}
+		ctx, cancel := context.WithCancel(t.Context())
+		var kept sync.WaitGroup
+		for range 500 {
+			here, there := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, there) }()
+			kept.Go(func() {
+				for ctx.Err() == nil && r.refuse(here, &buffer{}, 0, 0, &Refusal{}) {
+				}
+				here.Close()
+			})
+		}
+		synctest.Wait()
+		began := time.Now()
+		for range accepts {
+			r.Wait(cost)
+		}
+		alone := time.Duration(accepts * cost.Microseconds() * int64(time.Second) / perSecond)
+		if took := time.Since(began); took > 2*alone+100*time.Millisecond {
+			t.Errorf("%d accepted in %v, alone in %v", accepts, took, alone)
+		}
+		cancel()
+		kept.Wait()
+	})
+}
+
 // TestRefusalsStayBesideTheServer checks that the server sees only the first of many
 // requests that are refused.
 func TestRefusalsStayBesideTheServer(t *testing.T) {
