Refused callers come back spread over the time that a router needs for them

Callers whom a flooded router refused all came back after 200 ms, to one other router, and were refused there as well: at edge-villach-e-6 half of the refusals were on new connections, which only repeats and callers without a connection open.

Cause: the answer to when to come back did not look at how many are told the same.

Change: what is told is spread over the time that a router like this one needs for what is refused in a second: 200 ms where little is refused, up to 8 s in a flood.

--- a/internal/conductor/backpressure.go
+++ b/internal/conductor/backpressure.go
@@ -81,6 +81,7 @@
 // onLook lets the pressure decide whether the router is ready.
 func (n *node) onLook(now time.Time, refused bool) {
 	n.backpressure.note(refused)
+	n.comeback.note(n.pressure.taken.Load(), n.pressure.refused.Load())
 	n.collector.note(n.pressure.limit.Load() < n.pressure.most.Load() || n.backpressure.refused > calmBelow)
 	if !n.backpressure.busy() {
 		return
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -101,6 +101,7 @@
 	collector *collector
 	// backpressure tells the balancer of the pressure.
 	backpressure backpressure
+	comeback     comeback
 
 	peers     net.Listener
 	bounded   *boundedListener
@@ -236,10 +237,10 @@
 		Busy:    n.pressure.busy,
 		Crowded: n.pressure.crowded,
 		Done:    n.pressure.done,
-		Refuse:  n.refuseKept,
-		Away:    func() bool { return n.backpressure.left(time.Now()) },
-		Buffer:  &relayer.Budget{Bytes: int64(float64(n.settings.Limits.MemoryMB<<20) * bodyShare)},
-		Log:     n.log, LogRefusal: n.refusals.allow, Observe: n.meter.observe,
+		Refuse:  n.refuseKept, ComeBack: n.comeback.retryAfter,
+		Away:   func() bool { return n.backpressure.left(time.Now()) },
+		Buffer: &relayer.Budget{Bytes: int64(float64(n.settings.Limits.MemoryMB<<20) * bodyShare)},
+		Log:    n.log, LogRefusal: n.refusals.allow, Observe: n.meter.observe,
 	}
 }
 
