A slow body of a refused request is waited for

A caller who needs more than half a second to send a body lost its kept connection without an answer where the request was refused beside the HTTP server, found in reading; the HTTP server waited. TestSlowBodyIsAnswered failed before. Also: no timer where the turn is free.

--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -30,8 +30,10 @@
 	// maxHold is the longest time for which a refusal is held back for the pace: an eighth
 	// of the shortest usual objective.
 	maxHold = 50 * time.Millisecond
-	// sendTimeout is how long a caller may take to send what is refused.
+	// sendTimeout is how long a caller may take to send what is refused on a connection
+	// that is not kept, and bodyTimeout for the body on one that is.
 	sendTimeout = 500 * time.Millisecond
+	bodyTimeout = 10 * time.Second
 )
 
 // Refusal is the answer to a request that is refused.
@@ -81,8 +83,12 @@
 	r.makeTurn.Do(func() { r.turn = make(chan struct{}, 1) })
 	select {
 	case r.turn <- struct{}{}:
-	case <-time.After(maxHold):
-		return
+	default:
+		select {
+		case r.turn <- struct{}{}:
+		case <-time.After(maxHold):
+			return
+		}
 	}
 	r.Wait(r.Cost)
 	<-r.turn
@@ -172,7 +178,7 @@
 	} else {
 		b.n = 0
 	}
-	if rest > 0 && discard(c, b.bytes[:], rest) != nil || answer(c, f) != nil || f.Close {
+	if rest > 0 && discard(c, b.bytes[:], rest, bodyTimeout) != nil || answer(c, f) != nil || f.Close {
 		c.Close()
 		return false
 	}
@@ -202,7 +208,7 @@
 		switch {
 		case req != nil:
 			// What is left unread would reset the connection before the answer is read.
-			if rest := req.ContentLength - int64(b.n-head); rest > 0 && discard(c, b.bytes[:], min(rest, maxBodyBytes)) != nil {
+			if rest := req.ContentLength - int64(b.n-head); rest > 0 && discard(c, b.bytes[:], min(rest, maxBodyBytes), sendTimeout) != nil {
 				return io.ErrUnexpectedEOF
 			}
 			return answer(c, &Refusal{Header: judge(req), Close: true})
@@ -239,10 +245,10 @@
 
 var readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
 
-// discard reads so much of a body.
-func discard(c net.Conn, b []byte, n int64) error {
-	// As above.
-	_ = c.SetReadDeadline(time.Now().Add(sendTimeout))
+// discard reads so much of a body in a time.
+func discard(c net.Conn, b []byte, n int64, in time.Duration) error {
+	// Connections without deadlines, as in tests, wait for ever.
+	_ = c.SetReadDeadline(time.Now().Add(in))
 	for n > 0 {
 		k, err := c.Read(b[:min(int64(len(b)), n)])
 		n -= int64(k)
--- a/internal/refuser/refuser_test.go
+++ b/internal/refuser/refuser_test.go
@@ -261,6 +261,25 @@
 	})
 }
 
+// TestSlowBodyIsAnswered checks that a caller who takes seconds to send a body gets the
+// refusal and keeps the connection.
+func TestSlowBodyIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		here, there := net.Pipe()
+		defer there.Close()
+		kept := make(chan bool, 1)
+		go func() { kept <- (&Refuser{}).refuse(here, &buffer{}, 0, 4, &Refusal{}) }()
+		time.Sleep(3 * time.Second)
+		_, err := io.WriteString(there, "body")
+		c.Assert(err, qt.IsNil)
+		resp, err := http.ReadResponse(bufio.NewReader(there), nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(<-kept, qt.IsTrue)
+	})
+}
+
 // TestRefusalsStayBesideTheServer checks that the server sees only the first of many
 // requests that are refused.
 func TestRefusalsStayBesideTheServer(t *testing.T) {
