--- a/internal/conductor/turnaway.go
+++ b/internal/conductor/turnaway.go
@@ -63,14 +63,13 @@
 // Accept returns the next connection within the bound.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
-		var c net.Conn
-		var err error
 		if l.sockets != nil && !l.room() {
-			c, err = l.acceptCrowded()
-		} else {
-			c, err = l.accept()
+			if err := l.acceptCrowded(); err != nil {
+				return nil, err
+			}
+			continue
 		}
-		if c != nil || err != nil {
+		if c, err := l.accept(); c != nil || err != nil {
 			return c, err
 		}
 	}
@@ -92,74 +91,68 @@
 		return nil, err
 	}
 	now := time.Now()
-	if l.takes(now, l.open.Add(1)-1) || l.room != nil && l.room() && l.idle.evict(now) {
-		return l.hand(&boundedConn{Conn: c, l: l}), nil
+	if !l.takes(now, l.open.Load()) && (l.room == nil || !l.room() || !l.idle.evict(now)) {
+		l.turnAway(c)
+		return nil, nil
 	}
-	l.open.Add(-1)
-	l.turning <- struct{}{}
-	l.refuser.Wait(turnCost)
-	go l.turnAway(c)
-	return nil, nil
-}
-
-// hand returns a connection as it is handed on, or nil if it has just ended.
-func (l *boundedListener) hand(b *boundedConn) net.Conn {
+	b := l.count(c)
 	if err := b.probe(); err != nil {
+		// It has just ended.
 		l.closed()
 		b.Close()
-		return nil
+		return nil, nil
 	}
-	return b
+	return b, nil
 }
 
-// acceptCrowded refuses the request of the next connection at once, if it will not be
-// served. It returns a connection whose request may be.
-func (l *boundedListener) acceptCrowded() (net.Conn, error) {
+// acceptCrowded refuses the request of the next connection before that is polled, if it
+// has arrived. The refuser sees to all others within the bound.
+func (l *boundedListener) acceptCrowded() error {
 	s, err := l.sockets.Accept()
 	if err != nil {
-		return nil, err
+		return err
 	}
-	inside := l.takes(time.Now(), l.open.Add(1)-1)
 	judge := l.refuser.Judge
+	inside := l.takes(time.Now(), l.open.Load())
 	if !inside {
-		l.open.Add(-1)
 		judge = func(req *http.Request) *refuser.Refusal { return &refuser.Refusal{Header: l.refuse(req)} }
 	}
 	l.refuser.Wait(atOnceCost)
 	read, done := l.refuser.AtOnce(s, judge)
 	if done {
-		if inside {
-			l.open.Add(-1)
-		}
-		return nil, nil
+		return nil
 	}
 	c, err := s.Conn()
 	switch {
 	case err != nil:
-		if inside {
-			l.open.Add(-1)
-		}
 		l.closed()
-		return nil, nil
-	case !inside:
-		l.turning <- struct{}{}
-		l.refuser.Wait(turnCost)
-		go l.turnAway(&boundedConn{Conn: c, l: l, read: read, outside: true})
-		return nil, nil
+	case inside:
+		go l.refuser.Watch(l.count(c), read)
+	default:
+		l.turnAway(&boundedConn{Conn: c, l: l, read: read, outside: true})
 	}
-	// What is not whole yet is waited for, and what may be served comes back at once.
-	go l.refuser.Watch(&boundedConn{Conn: c, l: l}, read)
-	return nil, nil
+	return nil
+}
+
+// count counts a connection as open until it is closed.
+func (l *boundedListener) count(c net.Conn) *boundedConn {
+	l.open.Add(1)
+	return &boundedConn{Conn: c, l: l}
 }
 
-// turnAway reads one request and refuses it.
+// turnAway reads one request and refuses it, in a while.
 func (l *boundedListener) turnAway(c net.Conn) {
-	if err := l.refuser.Once(c, l.refuse); err != nil {
-		l.closed()
-	}
-	<-l.turning
+	l.turning <- struct{}{}
+	l.refuser.Wait(turnCost)
+	go func() {
+		if err := l.refuser.Once(c, l.refuse); err != nil {
+			l.closed()
+		}
+		<-l.turning
+	}()
 }
 
+// boundedConn is a caller's connection.
 type boundedConn struct {
 	net.Conn
 	l    *boundedListener
