A refused caller is told to come back while it can still be served

Callers with little time left were told up to 8 s. The bound is a third of what is left, as far as the caller says it; with spread returns a caller of 3 s is told a second at most (TestFewRefusalsComeBackAtOnce failed before: 8 s).

--- a/internal/conductor/comeback.go
+++ b/internal/conductor/comeback.go
@@ -12,8 +12,10 @@
 	// comebackSmoothing is the weight of the newest look in the rates: at a look each
 	// 37 ms, half of it is from the last half second.
 	comebackSmoothing = 0.05
-	// maxComeback bounds what a refused caller is told; few have more time left.
+	// maxComeback bounds what a refused caller is told, and patientPart does as a part of
+	// the time that it has left, so that another router can still serve it.
 	maxComeback = 8 * time.Second
+	patientPart = 3
 	// leastTaken is the number of requests in a look that any router is believed to take,
 	// 20 a second; the smallest take 50.
 	leastTaken = 0.74
@@ -40,10 +42,15 @@
 	c.spread.Store(int64(float64(time.Second) * c.refused / max(leastTaken, c.taken)))
 }
 
-// after returns when the next refused caller comes back, for a point in [0,1).
-func (c *comeback) after(point float64) time.Duration {
-	return min(relayer.RetryElsewhere+time.Duration(point*float64(c.spread.Load())), maxComeback)
+// after returns when a refused caller comes back, for a point in [0,1) and the time that the
+// caller has left, 0 if it does not say.
+func (c *comeback) after(point float64, left time.Duration) time.Duration {
+	longest := maxComeback
+	if left > 0 {
+		longest = min(longest, max(left/patientPart, relayer.RetryElsewhere))
+	}
+	return min(relayer.RetryElsewhere+time.Duration(point*float64(c.spread.Load())), longest)
 }
 
 // retryAfter returns when the next refused caller comes back.
-func (c *comeback) retryAfter() time.Duration { return c.after(rand.Float64()) }
+func (c *comeback) retryAfter(left time.Duration) time.Duration { return c.after(rand.Float64(), left) }
--- a/internal/conductor/comeback_test.go
+++ b/internal/conductor/comeback_test.go
@@ -28,7 +28,7 @@
 		refused += flood - takes
 		b.note(taken, refused)
 		for i := range flood - takes {
-			after := min(b.after(float64(i)/(flood-takes)), honoured)
+			after := min(b.after(float64(i)/(flood-takes), patience), honoured)
 			returns[int((at+after)/lagStep)]++
 		}
 	}
@@ -47,9 +47,10 @@
 	for i := range int64(200) {
 		b.note(100*i, i)
 	}
-	c.Assert(b.after(0.99) < 250*time.Millisecond, qt.IsTrue)
+	c.Assert(b.after(0.99, 0) < 250*time.Millisecond, qt.IsTrue)
 	for i := range int64(400) {
 		b.note(20_000+i/100, 200+100*i)
 	}
-	c.Assert(b.after(0.99), qt.Equals, maxComeback)
+	c.Assert(b.after(0.99, 0), qt.Equals, maxComeback)
+	c.Assert(b.after(0.99, 3*time.Second), qt.Equals, time.Second, qt.Commentf("it can still be served then"))
 }
--- a/internal/conductor/refuse.go
+++ b/internal/conductor/refuse.go
@@ -131,7 +131,7 @@
 // logs it.
 func (n *node) refusal(e *relayer.Envelope, workspace, reason string, kept bool) *refuser.Refusal {
 	f := &refuser.Refusal{Header: http.Header{}, Close: !kept || n.isClosing() || n.backpressure.left(time.Now())}
-	after := n.comeback.retryAfter()
+	after := n.comeback.retryAfter(e.Patience)
 	n.relayer.Codec.EncodeRefusal(f.Header, e.ID, after)
 	if n.refusals.allow() {
 		n.log("request", "request", e.ID, "outcome", "refused", "status", http.StatusServiceUnavailable, "reason", reason,
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -48,9 +48,9 @@
 	// and may go on to refuse others on its connection. False means that it cannot; nil
 	// never can.
 	Refuse func(w http.ResponseWriter, req *http.Request, h http.Header) bool
-	// ComeBack says when a caller comes back whom the router refuses for its own sake;
-	// nil says after RetryElsewhere.
-	ComeBack func() time.Duration
+	// ComeBack says when a caller, who has so much time left or 0, comes back whom the
+	// router refuses for its own sake; nil says after RetryElsewhere.
+	ComeBack func(left time.Duration) time.Duration
 	// Away says that callers who open a new connection reach other routers; nil says
 	// that they may not.
 	Away func() bool
@@ -345,7 +345,7 @@
 		x.busy = true
 		after := RetryElsewhere
 		if x.ComeBack != nil {
-			after = x.ComeBack()
+			after = x.ComeBack(x.call.Patience)
 		}
 		if !x.refuseBeside(why, after) {
 			x.refuse(why, after)
