Log what was ahead of a refused request, and refusals by reason

An owner's refusal did not say whether the request had been refused before, what waited ahead of it, when it would have started and how long it could wait; the line pressure had no counts by reason and not the retry delay. Fields are added to existing lines; no decision changes.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -127,7 +127,7 @@
 func (a *Admitter) Submit(now time.Time, req *Request) {
 	e := a.getOrCreateEngine(req.Engine)
 	if now.Before(e.suspendedUntil) {
-		a.refuse(now, e, req, ReasonSuspended, e.suspendedUntil.Sub(now))
+		a.refuse(now, e, Decision{Request: req, Reason: ReasonSuspended, RetryAfter: e.suspendedUntil.Sub(now)})
 		return
 	}
 	e.updateUtilization(now)
@@ -250,7 +250,7 @@
 		return
 	}
 	for _, req := range e.queue {
-		a.refuse(now, e, req, ReasonSuspended, minRetryAfter)
+		a.refuse(now, e, Decision{Request: req, Reason: ReasonSuspended, RetryAfter: minRetryAfter})
 	}
 	delete(a.engines, server)
 }
@@ -322,12 +322,15 @@
 		if now.Before(e.suspendedUntil) && begin.Before(e.suspendedUntil) {
 			begin = e.suspendedUntil
 		}
-		if begin.After(req.latestStart(prefill)) {
+		if latest := req.latestStart(prefill); begin.After(latest) {
 			reason := ReasonTooLate
 			if a.usage.workspaceTokens(now, req.Workspace) > a.usage.mean(now) {
 				reason = ReasonOverShare
 			}
-			a.refuse(now, e, req, reason, begin.Sub(now)+e.estimateWait(now))
+			a.refuse(now, e, Decision{
+				Request: req, Reason: reason, RetryAfter: begin.Sub(now) + e.estimateWait(now),
+				Ahead: len(kept), StartIn: begin.Sub(now), MaxWait: latest.Sub(now),
+			})
 			continue
 		}
 		kept = append(kept, req)
@@ -336,17 +339,16 @@
 	e.queue = kept
 }
 
-func (a *Admitter) refuse(
-	now time.Time, e *engineState, req *Request, reason Reason, wait time.Duration,
-) {
-	e.rememberRefusal(now, req)
-	a.recordDecision(now, e, Decision{
-		Request: req, Reason: reason, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter),
-	})
+// refuse records a refusal, whose retry delay it limits.
+func (a *Admitter) refuse(now time.Time, e *engineState, d Decision) {
+	e.rememberRefusal(now, d.Request)
+	d.RetryAfter = min(max(d.RetryAfter, minRetryAfter), maxRetryAfter)
+	a.recordDecision(now, e, d)
 }
 
 func (a *Admitter) recordDecision(now time.Time, e *engineState, d Decision) {
 	d.Running, d.Waiting, d.Backlog = len(e.running), len(e.queue), e.prefillBacklog(now)
+	d.Limit, d.Retried = e.concurrencyLimit(), d.Request.refusedBefore
 	d.Usage, d.MeanUsage = a.usage.workspaceTokens(now, d.Request.Workspace), a.usage.mean(now)
 	a.decisions = append(a.decisions, d)
 }
--- a/internal/admitter/request.go
+++ b/internal/admitter/request.go
@@ -93,6 +93,15 @@
 	Running int
 	Waiting int
 	Backlog time.Duration
+	// Limit is the number of requests that the server may run at the same time.
+	Limit int
+	// Retried reports whether the same request was refused recently. Ahead is the number of
+	// waiting requests ahead of a request that would start too late, StartIn the time until it
+	// would start, and MaxWait the longest time that it may wait.
+	Retried bool
+	Ahead   int
+	StartIn time.Duration
+	MaxWait time.Duration
 	// Usage is the recent usage of the workspace in weighted tokens, and MeanUsage the mean
 	// of all workspaces.
 	Usage     float64
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -364,7 +364,8 @@
 func newAdmitReply(d admitter.Decision) messenger.AdmitReply {
 	return messenger.AdmitReply{
 		Granted: d.Granted, Reason: d.Reason, RetryAfter: d.RetryAfter, Running: d.Running, Waiting: d.Waiting,
-		Backlog: d.Backlog, Usage: d.Usage, Mean: d.MeanUsage,
+		Backlog: d.Backlog, Limit: d.Limit, Retried: d.Retried, Ahead: d.Ahead, StartIn: d.StartIn, MaxWait: d.MaxWait,
+		Usage: d.Usage, Mean: d.MeanUsage,
 	}
 }
 
--- a/internal/conductor/assignment.go
+++ b/internal/conductor/assignment.go
@@ -71,7 +71,8 @@
 func refusalLogFields(r *allocator.Refusal) []any {
 	return []any{
 		"wanted", r.Server, "owner", r.Owner, "asks", r.ServersAsked, "running", r.Reply.Running, "waiting", r.Reply.Waiting,
-		"backlog-ms", r.Reply.Backlog.Milliseconds(), "usage", int(r.Reply.Usage), "mean-usage", int(r.Reply.Mean),
+		"backlog-ms", r.Reply.Backlog.Milliseconds(), "places", r.Reply.Limit, "retried", r.Reply.Retried, "ahead", r.Reply.Ahead,
+		"start-in-ms", r.Reply.StartIn.Milliseconds(), "max-wait-ms", r.Reply.MaxWait.Milliseconds(), "usage", int(r.Reply.Usage), "mean-usage", int(r.Reply.Mean),
 	}
 }
 
--- a/internal/conductor/fair_share.go
+++ b/internal/conductor/fair_share.go
@@ -34,6 +34,18 @@
 	}
 }
 
+// largest returns the workspace with the most active requests and their number.
+func (c *workspaceCounts) largest() (workspace string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for w, count := range c.counts {
+		if count > n || count == n && w < workspace {
+			workspace, n = w, count
+		}
+	}
+	return workspace, n
+}
+
 // isBelowFairShare reports whether a workspace has fewer active requests than its max-min fair
 // share of a capacity: workspaces below an even share leave the rest of it to the others.
 func (c *workspaceCounts) isBelowFairShare(workspace string, capacity float64) bool {
--- a/internal/conductor/load_log.go
+++ b/internal/conductor/load_log.go
@@ -46,9 +46,14 @@
 // loses no information.
 func (n *node) logLoad(connections int64) {
 	l := n.limiter
+	workspace, most := l.byWorkspace.largest()
+	overloaded, size := n.membership.CountOverloaded()
 	n.log("pressure", "lag-ms", time.Duration(l.lag.Load()).Milliseconds(), "limit", l.limit.Load(),
 		"most", l.ceiling.Load(), "active", n.relayer.Active(), "connections", connections,
 		"taken", l.accepted.Load(), "refused", l.refused.Load(),
 		"turned-away", n.metrics.counter("caller-connections-turned-away"), "closed", n.metrics.counter("caller-connections-closed"),
+		"refused-slow", n.metrics.counter("refused-router-slow"), "refused-share", n.metrics.counter("refused-router-share"),
+		"retry-spread-ms", time.Duration(n.retryAfter.spreadNanos.Load()).Milliseconds(), "away", n.readiness.isWithdrawn(),
+		"zone-crowded", overloaded, "zone-routers", size, "most-active", workspace, "most-active-requests", most,
 		"unlogged", n.refusalLog.suppressed.Load(), "processor-ms", time.Duration(l.cpuTime.Load()).Milliseconds())
 }
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -93,6 +93,11 @@
 	Running int
 	Waiting int
 	Backlog time.Duration
+	Limit   int
+	Retried bool
+	Ahead   int
+	StartIn time.Duration
+	MaxWait time.Duration
 	Usage   float64
 	Mean    float64
 	// Elsewhere is the ID of a server to try instead, empty if none is known. Home says
