--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -138,7 +139,7 @@
 }
 
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, filepath.Join("testdata", "scripts"), func(t *testing.T, path string) {
 		td := newTestDriver()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return td.run(t, d) })
 	})
--- /dev/null
+++ b/internal/admitter/starvation_test.go
@@ -0,0 +1,14 @@
+package admitter
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestFloodStarvesRetriesOfOtherWorkspace guards against retries that wait behind all first attempts of a workspace with more usage.
+func TestFloodStarvesRetriesOfOtherWorkspace(t *testing.T) {
+	td := newTestDriver()
+	datadriven.RunTest(t, filepath.Join("testdata", "starvation", "retries"), td.run)
+}
--- a/internal/conductor/limiter.go
+++ b/internal/conductor/limiter.go
@@ -263,6 +263,10 @@
 	return ""
 }
 
+// isOverloaded reports whether the router receives as many requests as it can serve. refused
+// says whether requests were refused since the last sample.
+func (l *concurrencyLimiter) isOverloaded(refused bool) bool { return refused }
+
 // hasCapacity reports whether the router can accept more requests of any workspace.
 func (l *concurrencyLimiter) hasCapacity() bool {
 	return float64(l.active()) < unreservedFraction*float64(l.limit.Load())
--- /dev/null
+++ b/internal/conductor/one_caller_test.go
@@ -0,0 +1,131 @@
+package conductor
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/internal/cataloger"
+	"papayapaddle/platform"
+)
+
+// callerZone simulates a zone of small routers that one caller reaches through a load balancer:
+// all its requests go to the first router in rotation. A router that refuses closes connections
+// once it is out of rotation, so that it gets no further requests.
+type callerZone struct {
+	limiters     []*concurrencyLimiter
+	gates        []readinessGate
+	streamEnds   [][]time.Duration
+	refused      []bool
+	failedChecks []int
+}
+
+const (
+	zoneStreamTime     = 4 * time.Second
+	zoneCoresPerStream = 0.00085
+	zoneBaseCores      = 0.03
+	zoneCPUShare       = 0.192
+)
+
+func newCallerZone(n int) *callerZone {
+	z := &callerZone{
+		gates: make([]readinessGate, n), streamEnds: make([][]time.Duration, n), refused: make([]bool, n), failedChecks: make([]int, n),
+	}
+	for i := range n {
+		limits := platform.ResourceLimits{MemoryMB: 184, MaxDescriptors: 4100, CPUShare: zoneCPUShare}
+		z.limiters = append(z.limiters, newConcurrencyLimiter(limits, func() int64 { return int64(len(z.streamEnds[i])) }))
+	}
+	return z
+}
+
+// request sends a request to the first router in rotation and reports whether it was accepted.
+func (z *callerZone) request(at time.Duration) bool {
+	i := max(0, slices.IndexFunc(z.failedChecks, func(n int) bool { return n < 2 }))
+	if z.limiters[i].admit(cataloger.RouteStream, "w", int64(len(z.streamEnds[i])+1)) != "" {
+		z.refused[i] = true
+		return false
+	}
+	z.streamEnds[i] = append(z.streamEnds[i], at+zoneStreamTime)
+	return true
+}
+
+// sample ends streams and updates the limits and the readiness of all routers.
+func (z *callerZone) sample(at time.Duration) {
+	overloaded := 0
+	for i := range z.gates {
+		if z.gates[i].reportsOverload() {
+			overloaded++
+		}
+	}
+	for i := range z.gates {
+		g, l := &z.gates[i], z.limiters[i]
+		z.streamEnds[i] = slices.DeleteFunc(z.streamEnds[i], func(end time.Duration) bool {
+			if end <= at {
+				l.release("w")
+			}
+			return end <= at
+		})
+		l.updateCeiling(min(zoneCPUShare, zoneBaseCores+float64(len(z.streamEnds[i]))*zoneCoresPerStream))
+		l.updateLimit(0)
+		g.record(l.isOverloaded(z.refused[i]))
+		z.refused[i] = false
+		others := overloaded
+		if g.reportsOverload() {
+			others--
+		}
+		g.update(time.Unix(0, 0).Add(at), others, len(z.gates))
+	}
+}
+
+// check runs the readiness checks of the load balancer.
+func (z *callerZone) check() {
+	for i := range z.gates {
+		if z.failedChecks[i]++; !z.gates[i].isWithdrawn() {
+			z.failedChecks[i] = 0
+		}
+	}
+}
+
+// TestFloodReachesRouterThatIsAlreadyFull guards against a workspace that falls below half of its share since its only caller reaches a nearly full router.
+func TestFloodReachesRouterThatIsAlreadyFull(t *testing.T) {
+	c := qt.New(t)
+	const (
+		usualRate     = 38.0  // requests per second of the workspace before it floods
+		floodRate     = 400.0 // requests per second
+		mostServed    = 330.0 // requests per second of the workspace that is served most
+		warmUp        = 14 * time.Second
+		floodStart    = warmUp + 4*time.Second
+		windowSeconds = 6
+	)
+	z := newCallerZone(26)
+	pending, asked, served := 0.0, make([]float64, windowSeconds), 0.0
+	checked := time.Duration(0)
+	for at := time.Duration(0); at < warmUp+windowSeconds*time.Second; at += samplePeriod {
+		rate := usualRate
+		if at >= floodStart {
+			rate = floodRate
+		}
+		for pending += rate * samplePeriod.Seconds(); pending >= 1; pending-- {
+			accepted := z.request(at)
+			if at < warmUp {
+				continue
+			}
+			asked[int((at-warmUp)/time.Second)]++
+			if accepted {
+				served++
+			}
+		}
+		z.sample(at)
+		if at-checked >= time.Second {
+			checked = at
+			z.check()
+		}
+	}
+	share := 0.0
+	for _, n := range asked {
+		share += min(n, mostServed)
+	}
+	c.Assert(served >= share/2, qt.IsTrue, qt.Commentf("%.0f requests started, half of the share is %.0f", served, share/2))
+}
--- a/internal/conductor/readiness.go
+++ b/internal/conductor/readiness.go
@@ -34,10 +34,10 @@
 	withdrawnSince atomic.Pointer[time.Time]
 }
 
-// record adds a sample: whether a request was refused since the last one.
-func (g *readinessGate) record(refused bool) {
+// record adds a sample: whether the router is overloaded.
+func (g *readinessGate) record(overloaded bool) {
 	sample := 0.0
-	if refused {
+	if overloaded {
 		sample = 1
 	}
 	g.refusalFraction += refusalSmoothing * (sample - g.refusalFraction)
@@ -83,7 +83,7 @@
 
 // handleSample updates everything that depends on the load. It is called once per sample.
 func (n *node) handleSample(now time.Time, refused bool) {
-	n.readiness.record(refused)
+	n.readiness.record(n.limiter.isOverloaded(refused))
 	n.retryAfter.record(n.limiter.accepted.Load(), n.limiter.refused.Load())
 	n.gcTuner.setOverloaded(n.limiter.limit.Load() < n.limiter.ceiling.Load() || n.readiness.refusalFraction > recoveredBelow)
 	if !n.readiness.reportsOverload() {
