--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -6,8 +6,8 @@
 // requests whose prefill is about to begin and queues the others itself, in this order:
 //
 //   - streams that were interrupted on another server and are being resumed
-//   - requests that can still meet their objective, before retries of refused ones
 //   - workspaces with the lowest recent usage across the fleet
+//   - requests that can still meet their objective, before retries of refused ones
 //   - prompts with the fewest uncached tokens
 //   - the earliest wanted first event
 //
@@ -297,8 +297,8 @@
 	slices.SortStableFunc(e.queue, func(x, y *Request) int {
 		return cmp.Or(
 			cmp.Compare(boolToInt(!x.Resumed), boolToInt(!y.Resumed)),
-			cmp.Compare(boolToInt(x.refusedBefore), boolToInt(y.refusedBefore)),
 			cmp.Compare(usageSteps[x.Workspace], usageSteps[y.Workspace]),
+			cmp.Compare(boolToInt(x.refusedBefore), boolToInt(y.refusedBefore)),
 			cmp.Compare(lengthSteps[x], lengthSteps[y]),
 			x.FirstBy.Compare(y.FirstBy),
 		)
