Let underserved workspaces start a little late

Owners refused 99 requests of lolo702 that would have started 72 ms (median) too late for their objective, while another workspace was served five times as much; callers saw 503, came back late in any case and were refused again. A workspace with less than half of the usage of another may now start until nine tenths of its objective have passed, so that a refusal still arrives within it. TestFloodStarvesLateRequestsOfOtherWorkspace failed before (the request was refused too-late).

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -80,6 +80,11 @@
 	maxLengthSteps   = 2
 	// maxPrefillAllowance is the largest fraction of an objective reserved for prefill.
 	maxPrefillAllowance = 0.8
+	// A workspace is underserved while another has used more than underservedRatio times as
+	// much. Its requests may start too late to meet their objective, but not after
+	// underservedWaitFraction of it, so that a refusal still arrives within the objective.
+	underservedRatio        = 2
+	underservedWaitFraction = 0.9
 	// expiryGracePeriod is how long after its deadline a running request is dropped if its
 	// router has not reported an outcome.
 	expiryGracePeriod = time.Second
@@ -311,6 +316,7 @@
 	engineFree := now.Add(e.prefillBacklog(now))
 	kept := e.queue[:0]
 	excess := len(e.running) - e.concurrencyLimit() + 1
+	largest := a.usage.largest(now)
 	for _, req := range e.queue {
 		prefill := e.prefillTime(e.prefixCache.uncachedTokens(req.Prompt, req.Parts))
 		begin := engineFree
@@ -322,7 +328,11 @@
 		if now.Before(e.suspendedUntil) && begin.Before(e.suspendedUntil) {
 			begin = e.suspendedUntil
 		}
-		if latest := req.latestStart(prefill); begin.After(latest) {
+		latest := req.latestStart(prefill)
+		if a.usage.workspaceTokens(now, req.Workspace)*underservedRatio < largest {
+			latest = req.latestLateStart()
+		}
+		if begin.After(latest) {
 			reason := ReasonTooLate
 			if a.usage.workspaceTokens(now, req.Workspace) > a.usage.mean(now) {
 				reason = ReasonOverShare
--- a/internal/admitter/request.go
+++ b/internal/admitter/request.go
@@ -61,6 +61,12 @@
 	return start
 }
 
+// latestLateStart returns the latest time at which the engine may start a request of an
+// underserved workspace.
+func (r *Request) latestLateStart() time.Time {
+	return r.Arrived.Add(time.Duration(underservedWaitFraction * float64(r.FirstBy.Sub(r.Arrived))))
+}
+
 // weightedTokens returns the tokens that the request adds to its workspace's usage.
 func (r *Request) weightedTokens() float64 {
 	return float64(r.Prompt) + answerTokenWeight*float64(r.Answer)
--- a/internal/admitter/starvation_test.go
+++ b/internal/admitter/starvation_test.go
@@ -12,3 +12,9 @@
 	td := newTestDriver()
 	datadriven.RunTest(t, filepath.Join("testdata", "starvation", "retries"), td.run)
 }
+
+// TestFloodStarvesLateRequestsOfOtherWorkspace guards against refusing what would start a little late to a workspace far behind another.
+func TestFloodStarvesLateRequestsOfOtherWorkspace(t *testing.T) {
+	td := newTestDriver()
+	datadriven.RunTest(t, filepath.Join("testdata", "starvation", "late-starts"), td.run)
+}
--- a/internal/admitter/usage.go
+++ b/internal/admitter/usage.go
@@ -172,3 +172,12 @@
 	}
 	return total / float64(n)
 }
+
+// largest returns the usage of the workspace that used most.
+func (u *usageTracker) largest(now time.Time) float64 {
+	most := 0.0
+	for _, sum := range u.total {
+		most = max(most, u.current(sum, now))
+	}
+	return most
+}
