Withdraw a router before it is full

All requests of a workspace with one caller reach one router. It was withdrawn after it had refused for most of a second, and the balancer acts one to two seconds later: routers stood at nine tenths of their limit for seconds, had no room when the workspace flooded, and refused up to 700 requests a second while 25 routers of the zone had room. A router is now withdrawn from seven tenths of its limit on, at once, as long as no more than a quarter of its zone is; and it returns after 3.5 s at least instead of 5, since no request reaches a withdrawn router once its callers have moved. TestOneCallerIsRefusedWhileZoneIsUnused failed before (refused after 16 s, no other router tried). TestFloodReachesRouterThatIsAlreadyFull stays red: 214 to 318 requests, half of the share is 406; the balancer needs two checks for each router of a sixth of a core.

--- a/internal/conductor/limiter.go
+++ b/internal/conductor/limiter.go
@@ -27,6 +27,9 @@
 	// halves within a third of a second and doubles within two seconds.
 	limitDecrease = 0.08
 	limitIncrease = 0.015
+	// nearlyFullFraction is the fraction of the limit from which a router is nearly full. The load balancer takes seconds to direct callers to other routers, and the rest of the
+	// limit serves them until then.
+	nearlyFullFraction = 0.7
 	// reportPeriod is the period of load log lines during overload.
 	reportPeriod = time.Second
 	// The limit never falls below minRequestLimit or minRequestsPerCore times the cores. A
@@ -263,9 +266,10 @@
 	return ""
 }
 
-// isOverloaded reports whether the router receives as many requests as it can serve. refused
-// says whether requests were refused since the last sample.
-func (l *concurrencyLimiter) isOverloaded(refused bool) bool { return refused }
+// isNearlyFull reports whether the active requests come close to the limit.
+func (l *concurrencyLimiter) isNearlyFull() bool {
+	return float64(l.active()) >= nearlyFullFraction*float64(l.limit.Load())
+}
 
 // hasCapacity reports whether the router can accept more requests of any workspace.
 func (l *concurrencyLimiter) hasCapacity() bool {
--- a/internal/conductor/one_caller_test.go
+++ b/internal/conductor/one_caller_test.go
@@ -69,7 +69,7 @@
 		})
 		l.updateCeiling(min(zoneCPUShare, zoneBaseCores+float64(len(z.streamEnds[i]))*zoneCoresPerStream))
 		l.updateLimit(0)
-		g.record(l.isOverloaded(z.refused[i]))
+		g.record(z.refused[i], l.isNearlyFull())
 		z.refused[i] = false
 		others := overloaded
 		if g.reportsOverload() {
@@ -129,3 +129,26 @@
 	}
 	c.Assert(served >= share/2, qt.IsTrue, qt.Commentf("%.0f requests started, half of the share is %.0f", served, share/2))
 }
+
+// TestOneCallerIsRefusedWhileZoneIsUnused guards against refusals of a caller whose load grows slowly, while no other router of the zone was tried.
+func TestOneCallerIsRefusedWhileZoneIsUnused(t *testing.T) {
+	c := qt.New(t)
+	const (
+		startRate = 20.0 // requests per second
+		rateStep  = 1.0  // increase of the rate per second
+	)
+	z := newCallerZone(26)
+	pending, checked := 0.0, time.Duration(0)
+	for at := time.Duration(0); at < 30*time.Second; at += samplePeriod {
+		for pending += (startRate + rateStep*at.Seconds()) * samplePeriod.Seconds(); pending >= 1; pending-- {
+			if !z.request(at) {
+				c.Assert(z.limiters[1].accepted.Load() > 0, qt.IsTrue, qt.Commentf("refused after %v", at))
+			}
+		}
+		z.sample(at)
+		if at-checked >= time.Second {
+			checked = at
+			z.check()
+		}
+	}
+}
--- a/internal/conductor/readiness.go
+++ b/internal/conductor/readiness.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// refusalSmoothing is the weight of the newest sample in refusalFraction. With a sample
+	// overloadSmoothing is the weight of the newest sample in overloadFraction. With a sample
 	// every 37 ms, half of the total weight is on the last half second.
-	refusalSmoothing = 0.05
-	// A router reports overload to its peers once its refusal fraction exceeds overloadedAbove,
-	// until it falls below recoveredBelow. Bursts of less than a second do not reach
-	// overloadedAbove.
+	overloadSmoothing = 0.05
+	// A router reports overload to its peers once it is nearly full or its overload fraction
+	// exceeds overloadedAbove, until the fraction falls below recoveredBelow. Refusals in bursts
+	// of less than a second do not reach overloadedAbove.
 	overloadedAbove = 0.7
 	recoveredBelow  = 0.2
 	// zoneRoutersPerWithdrawal is the number of routers in a zone for each one that may be
@@ -19,32 +19,35 @@
 	zoneRoutersPerWithdrawal = 4
 	// minWithdrawal is the shortest time that a router stays withdrawn. The load balancer notices
 	// only after two seconds, and streams that have started go on for some seconds.
-	minWithdrawal = 5 * time.Second
+	minWithdrawal = 3500 * time.Millisecond
 )
 
 // readinessGate withdraws a router from the load balancer's rotation, by reporting it as not
-// ready, while it receives more requests than it can serve and other routers of its zone have
-// capacity. This covers a workspace with a single caller, whose requests all reach the same
-// router: the load balancer then directs the caller's new connections to other routers.
+// ready, while it is nearly full or receives more requests than it can serve, and other routers
+// of its zone have capacity. This covers a workspace with a single caller, whose requests all
+// reach the same router: the load balancer then directs the caller's new connections to other
+// routers.
 type readinessGate struct {
-	// refusalFraction is the smoothed fraction of samples with a refused request.
-	refusalFraction float64
-	overloaded      atomic.Bool
+	// overloadFraction is the smoothed fraction of samples with a refused request, or in which
+	// the router was nearly full.
+	overloadFraction float64
+	overloaded       atomic.Bool
 	// withdrawnSince is nil while the router is not withdrawn.
 	withdrawnSince atomic.Pointer[time.Time]
 }
 
-// record adds a sample: whether the router is overloaded.
-func (g *readinessGate) record(overloaded bool) {
+// record adds a sample: whether a request was refused since the last one, and whether the router
+// is nearly full.
+func (g *readinessGate) record(refused, nearlyFull bool) {
 	sample := 0.0
-	if overloaded {
+	if refused || nearlyFull {
 		sample = 1
 	}
-	g.refusalFraction += refusalSmoothing * (sample - g.refusalFraction)
+	g.overloadFraction += overloadSmoothing * (sample - g.overloadFraction)
 	switch {
-	case g.refusalFraction > overloadedAbove:
+	case g.overloadFraction > overloadedAbove || nearlyFull:
 		g.overloaded.Store(true)
-	case g.refusalFraction < recoveredBelow:
+	case g.overloadFraction < recoveredBelow:
 		g.overloaded.Store(false)
 	}
 }
@@ -83,15 +86,15 @@
 
 // handleSample updates everything that depends on the load. It is called once per sample.
 func (n *node) handleSample(now time.Time, refused bool) {
-	n.readiness.record(n.limiter.isOverloaded(refused))
+	n.readiness.record(refused, n.limiter.isNearlyFull())
 	n.retryAfter.record(n.limiter.accepted.Load(), n.limiter.refused.Load())
-	n.gcTuner.setOverloaded(n.limiter.limit.Load() < n.limiter.ceiling.Load() || n.readiness.refusalFraction > recoveredBelow)
+	n.gcTuner.setOverloaded(n.limiter.limit.Load() < n.limiter.ceiling.Load() || n.readiness.overloadFraction > recoveredBelow)
 	if !n.readiness.reportsOverload() {
 		return
 	}
 	overloaded, size := n.membership.CountOverloaded()
 	if n.readiness.update(now, overloaded, size) {
-		n.log("backpressure", "away", n.readiness.isWithdrawn(), "refused-looks", n.readiness.refusalFraction, "zone-crowded", overloaded,
+		n.log("backpressure", "away", n.readiness.isWithdrawn(), "refused-looks", n.readiness.overloadFraction, "zone-crowded", overloaded,
 			"zone-routers", size, "active", n.relayer.Active(), "limit", n.limiter.limit.Load())
 	}
 }
--- a/internal/conductor/readiness_test.go
+++ b/internal/conductor/readiness_test.go
@@ -44,7 +44,7 @@
 		for i := range z.routers {
 			g := &z.routers[i]
 			z.started += min(z.arrivals[i], modelCapacity)
-			g.record(z.arrivals[i] > modelCapacity)
+			g.record(z.arrivals[i] > modelCapacity, false)
 			others := overloaded
 			if g.reportsOverload() {
 				others--
@@ -124,13 +124,13 @@
 	at := time.Unix(4, 0)
 	for range 30 {
 		at = at.Add(modelSamplePeriod)
-		g.record(false)
+		g.record(false, false)
 		g.update(at, 0, 8)
 	}
 	c.Assert(g.reportsOverload(), qt.IsTrue, qt.Commentf("ready before the load balancer could have noticed the withdrawal"))
 	for range 60 {
 		at = at.Add(modelSamplePeriod)
-		g.record(false)
+		g.record(false, false)
 		g.update(at, 0, 8)
 	}
 	c.Assert(g.reportsOverload(), qt.IsFalse)
