Do not withdraw a router for a late timer

Nearly full is now measured against the ceiling; a limit below it still withdraws the router once it refuses. TestLagWithdrawsRouterWithCapacity failed before.

--- a/internal/conductor/limiter.go
+++ b/internal/conductor/limiter.go
@@ -27,8 +27,9 @@
 	// halves within a third of a second and doubles within two seconds.
 	limitDecrease = 0.08
 	limitIncrease = 0.015
-	// nearlyFullFraction is the fraction of the limit from which a router is nearly full. The load balancer takes seconds to direct callers to other routers, and the rest of the
-	// limit serves them until then.
+	// nearlyFullFraction is the fraction of the ceiling from which a router is nearly full. The
+	// load balancer takes seconds to direct callers to other routers, and the rest serves them
+	// until then.
 	nearlyFullFraction = 0.7
 	// reportPeriod is the period of load log lines during overload.
 	reportPeriod = time.Second
@@ -266,9 +267,10 @@
 	return ""
 }
 
-// isNearlyFull reports whether the active requests come close to the limit.
+// isNearlyFull reports whether the active requests come close to the ceiling. The limit is not
+// suitable, as it falls to the number of active requests when timers fire late.
 func (l *concurrencyLimiter) isNearlyFull() bool {
-	return float64(l.active()) >= nearlyFullFraction*float64(l.limit.Load())
+	return float64(l.active()) >= nearlyFullFraction*float64(l.ceiling.Load())
 }
 
 // hasCapacity reports whether the router can accept more requests of any workspace.
--- a/internal/conductor/one_caller_test.go
+++ b/internal/conductor/one_caller_test.go
@@ -152,3 +152,15 @@
 		}
 	}
 }
+
+// TestLagWithdrawsRouterWithCapacity guards against a router that counts as nearly full since a late timer has lowered its limit to its active requests.
+func TestLagWithdrawsRouterWithCapacity(t *testing.T) {
+	c := qt.New(t)
+	z := newCallerZone(1)
+	for range 60 {
+		c.Assert(z.request(0), qt.IsTrue)
+	}
+	z.limiters[0].updateLimit(200 * time.Millisecond)
+	c.Assert(z.limiters[0].limit.Load() < 70, qt.IsTrue)
+	c.Assert(z.limiters[0].isNearlyFull(), qt.IsFalse)
+}
