Never refuse a request of an underserved workspace earlier than others

With a long objective and a short prompt, nine tenths of the objective are less than the time until which any request may start: a request of an underserved workspace, or a stream that is resumed, could be refused where another one waits. Found in reading the change. The later of the two applies now. The new case of TestFloodStarvesLateRequestsOfOtherWorkspace failed before (refused too-late).

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -330,7 +330,9 @@
 		}
 		latest := req.latestStart(prefill)
 		if a.usage.workspaceTokens(now, req.Workspace)*underservedRatio < largest {
-			latest = req.latestLateStart()
+			if late := req.latestLateStart(); late.After(latest) {
+				latest = late
+			}
 		}
 		if begin.After(latest) {
 			reason := ReasonTooLate
