--- a/internal/conductor/one_caller_test.go
+++ b/internal/conductor/one_caller_test.go
@@ -22,6 +22,8 @@
 	failedChecks []int
 }
 
+// The routers have zoneCPUShare cores. A stream takes zoneStreamTime and uses zoneCoresPerStream
+// cores, and everything else uses zoneBaseCores.
 const (
 	zoneStreamTime     = 4 * time.Second
 	zoneCoresPerStream = 0.00085
@@ -88,6 +90,22 @@
 	}
 }
 
+// run sends requests at a rate per second that depends on the time, samples all routers and runs
+// the readiness checks every second. It calls onRequest for each request.
+func (z *callerZone) run(duration time.Duration, rate func(at time.Duration) float64, onRequest func(at time.Duration, accepted bool)) {
+	pending, checked := 0.0, time.Duration(0)
+	for at := time.Duration(0); at < duration; at += samplePeriod {
+		for pending += rate(at) * samplePeriod.Seconds(); pending >= 1; pending-- {
+			onRequest(at, z.request(at))
+		}
+		z.sample(at)
+		if at-checked >= time.Second {
+			checked = at
+			z.check()
+		}
+	}
+}
+
 // TestFloodReachesRouterThatIsAlreadyFull guards against a workspace that falls below half of its share since its only caller reaches a nearly full router.
 func TestFloodReachesRouterThatIsAlreadyFull(t *testing.T) {
 	c := qt.New(t)
@@ -99,30 +117,22 @@
 		floodStart    = warmUp + 4*time.Second
 		windowSeconds = 6
 	)
-	z := newCallerZone(26)
-	pending, asked, served := 0.0, make([]float64, windowSeconds), 0.0
-	checked := time.Duration(0)
-	for at := time.Duration(0); at < warmUp+windowSeconds*time.Second; at += samplePeriod {
-		rate := usualRate
+	asked, served := make([]float64, windowSeconds), 0.0
+	rate := func(at time.Duration) float64 {
 		if at >= floodStart {
-			rate = floodRate
+			return floodRate
 		}
-		for pending += rate * samplePeriod.Seconds(); pending >= 1; pending-- {
-			accepted := z.request(at)
-			if at < warmUp {
-				continue
-			}
-			asked[int((at-warmUp)/time.Second)]++
-			if accepted {
-				served++
-			}
+		return usualRate
+	}
+	newCallerZone(26).run(warmUp+windowSeconds*time.Second, rate, func(at time.Duration, accepted bool) {
+		if at < warmUp {
+			return
 		}
-		z.sample(at)
-		if at-checked >= time.Second {
-			checked = at
-			z.check()
+		asked[int((at-warmUp)/time.Second)]++
+		if accepted {
+			served++
 		}
-	}
+	})
 	share := 0.0
 	for _, n := range asked {
 		share += min(n, mostServed)
@@ -138,19 +148,12 @@
 		rateStep  = 1.0  // increase of the rate per second
 	)
 	z := newCallerZone(26)
-	pending, checked := 0.0, time.Duration(0)
-	for at := time.Duration(0); at < 30*time.Second; at += samplePeriod {
-		for pending += (startRate + rateStep*at.Seconds()) * samplePeriod.Seconds(); pending >= 1; pending-- {
-			if !z.request(at) {
-				c.Assert(z.limiters[1].accepted.Load() > 0, qt.IsTrue, qt.Commentf("refused after %v", at))
-			}
+	rate := func(at time.Duration) float64 { return startRate + rateStep*at.Seconds() }
+	z.run(30*time.Second, rate, func(at time.Duration, accepted bool) {
+		if !accepted {
+			c.Assert(z.limiters[1].accepted.Load() > 0, qt.IsTrue, qt.Commentf("refused after %v", at))
 		}
-		z.sample(at)
-		if at-checked >= time.Second {
-			checked = at
-			z.check()
-		}
-	}
+	})
 }
 
 // TestLagWithdrawsRouterWithCapacity guards against a router that counts as nearly full since a late timer has lowered its limit to its active requests.
