Log the limits that servers name in their answers

No line said when a router hears that a server names a limit, so the hypotheses of the incident could not be told apart. Package pacer now holds what answers say (out of order, by incarnation, bounded), and the lines server-limit and server-limit-lifted, two counters and the state dump show it. No decision reads it yet.

Tests: pacer TestLimitsFromAnswers, TestRoutersAgreeOnLimits (failed twice while it was written: news of an infinite rate compared as insignificant; a rejected older message was not answered with the newer one), TestMadeUpLimitsAreBounded, platform testdata/decode.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -25,6 +25,7 @@
 	"papayapaddle/internal/failer"
 	"papayapaddle/internal/linker"
 	"papayapaddle/internal/messenger"
+	"papayapaddle/internal/pacer"
 	"papayapaddle/internal/quarantiner"
 	"papayapaddle/internal/recorder"
 	"papayapaddle/internal/relayer"
@@ -102,7 +103,9 @@
 	// verdictsChanged receives a value after changes of the verdicts on prompt parts.
 	verdictsChanged chan struct{}
 	// excluder holds the servers that told this router to send them nothing.
-	excluder   excluder.Excluder
+	excluder excluder.Excluder
+	// limits holds the rates that servers name in their answers.
+	limits     pacer.Limits
 	metrics    *metricSet
 	limiter    *concurrencyLimiter
 	refusalLog refusalLogLimiter
@@ -287,6 +290,7 @@
 	n.balancer.RetainServers(set.ByID)
 	n.setReleases(set)
 	n.retainExclusions(set)
+	n.retainLimits(set)
 }
 
 // shutdownWindow returns when the shutdown began and when it must be over, or zero times if
--- a/internal/conductor/exclusion.go
+++ b/internal/conductor/exclusion.go
@@ -17,9 +17,10 @@
 	return excluder.Server{ID: s.ID, Address: s.Address, StartedUnixMilli: s.StartedUnixMilli}
 }
 
-// handleServerResponse excludes a server that says in a response that it is shutting down or wants a
-// pause.
-func (n *node) handleServerResponse(s *cataloger.Server, requestID string, info relayer.ResponseInfo) {
+// handleServerResponse records what a server says of itself in a response: its limit, that it is shutting
+// down, or that it wants a pause.
+func (n *node) handleServerResponse(s *cataloger.Server, requestID string, sentAt time.Duration, info relayer.ResponseInfo) {
+	n.recordLimit(s, requestID, sentAt, info)
 	if info.InvalidPause != "" {
 		n.log("server-pause-unreadable", "server", s.ID, "request", requestID, "value", info.InvalidPause[:min(len(info.InvalidPause), maxLoggedValue)])
 	}
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -97,6 +97,8 @@
 	Servers []admitter.ServerState `json:"owned-servers"`
 	// QuarantinedParts are the prompt parts that are kept from servers.
 	QuarantinedParts []string `json:"quarantined-parts,omitempty"`
+	// ServerLimits are the rates, in requests a second, that servers name in their answers, by ID.
+	ServerLimits map[string]float64 `json:"server-limits,omitempty"`
 	// Listed describes all known backend servers by ID.
 	Listed map[string]string `json:"listed-servers"`
 }
@@ -125,6 +127,7 @@
 		Self: n.self, Beliefs: n.watcher.Describe(), Unready: n.unreadyReason(), Reachable: n.membership.Reachable(),
 		Active: n.relayer.Active(), BodyBytes: n.relayer.BodyBudget.UsedBytes(), Servers: n.allocator.Dump(),
 		Listed: map[string]string{}, QuarantinedParts: n.describeVerdicts(),
+		ServerLimits: n.limits.Rates(),
 	}
 	if set := n.watcher.ServerSet(); set != nil {
 		for id, v := range set.ByID {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -33,8 +33,8 @@
 	// MaySend reports whether a server may get a request now, just before it is sent. If nil, it may.
 	MaySend func(*cataloger.Server) bool
 	// ServerResponded is called for the header of each response of a server, with the ID of the request
-	// that was sent. It may be nil.
-	ServerResponded func(s *cataloger.Server, requestID string, info ResponseInfo)
+	// that was sent and the reading of the boot clock before that. It may be nil.
+	ServerResponded func(s *cataloger.Server, requestID string, sentAt time.Duration, info ResponseInfo)
 	// ServerEnded reports whether a server accepts no connections any more. If nil, the end of a
 	// connection that delimits an answer is never taken for the end of the server.
 	ServerEnded func(context.Context, *cataloger.Server) bool
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -58,6 +58,11 @@
 	// be read.
 	Pause        time.Duration
 	InvalidPause string
+	// Limit is the rate, in requests a second, that the server takes from all routers together, if
+	// LimitNamed. InvalidLimit is the value of one that cannot be read.
+	Limit        float64
+	LimitNamed   bool
+	InvalidLimit string
 	// NotRun is true if the server states that it did not run the request.
 	NotRun bool
 }
