Keep model servers within the limit that they name

Callers of other requests paid for it: a server that named 5 requests a second got 12, because its owner granted whatever the engine could begin, and no router told the others what it had heard.

What cannot start in time is refused at once and offered to a server without a limit; refused requests are told to return one after the other at the limit. - At a limit starts are scarce, not the engine's time: the requests with the most work go first. - A router that can reach no owner of a limited server grants nothing there. An owner uses the share of the limit that belongs to the routers it reaches, so that two sides of a partition do not use it twice.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -11,6 +11,9 @@
 //   - prompts with the fewest uncached tokens
 //   - the earliest wanted first event
 //
+// If a server names a limit of requests a second, the owner also spaces the requests that start there, so
+// that all routers together keep the limit.
+//
 // Requests that cannot start in time are refused immediately. docs/DESIGN.md describes the
 // load that motivates each rule and the measurements behind the constants.
 //
@@ -21,6 +24,7 @@
 	"cmp"
 	"maps"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -70,6 +74,9 @@
 	// answerTokenWeight is the weight of an answer token in a workspace's usage, relative
 	// to a prompt token.
 	answerTokenWeight = 2
+	// answerTokenWork is the time that an engine takes for a token of an answer, in a full batch, relative to a
+	// prompt token.
+	answerTokenWork = 10
 	// usageStepRatio is the usage ratio at which one workspace takes precedence over
 	// another. Workspaces with a smaller difference count as equal.
 	usageStepRatio = 1.6
@@ -99,6 +106,9 @@
 	// UsageTimeConstant is the time constant of the exponential decay of workspace usage.
 	// It must be set.
 	UsageTimeConstant time.Duration
+	// Limit returns the requests a second that may start on a server, and whether it has such a limit. If nil,
+	// no server has.
+	Limit func(server string) (perSecond float64, limited bool)
 
 	engines   map[string]*engineState
 	usage     usageTracker
@@ -123,19 +133,28 @@
 func (a *Admitter) lookupEngine(now time.Time, server string) *engineState {
 	e := a.engines[server]
 	if e != nil {
-		e.updateUtilization(now)
+		a.update(now, e)
 	}
 	return e
 }
 
+// update updates the limit and the utilization of an engine. It must be called before any change of the
+// engine's state.
+func (a *Admitter) update(now time.Time, e *engineState) {
+	e.updateUtilization(now)
+	if a.Limit != nil {
+		e.pace.set(a.Limit(e.ID))
+	}
+}
+
 // Submit queues a request. TakeDecisions returns its decision, immediately or later.
 func (a *Admitter) Submit(now time.Time, req *Request) {
 	e := a.getOrCreateEngine(req.Engine)
+	a.update(now, e)
 	if now.Before(e.suspendedUntil) {
 		a.refuse(now, e, Decision{Request: req, Reason: ReasonSuspended, RetryAfter: e.suspendedUntil.Sub(now)})
 		return
 	}
-	e.updateUtilization(now)
 	e.lastSubmittedAt = now
 	if req.Spare && !e.canTakeOverflow(now, req) {
 		a.recordDecision(now, e, Decision{
@@ -215,7 +234,7 @@
 // outcome is overdue.
 func (a *Admitter) Tick(now time.Time) {
 	for _, e := range a.enginesByID() {
-		e.updateUtilization(now)
+		a.update(now, e)
 		for key, r := range e.running {
 			if now.After(r.request.Deadline.Add(expiryGracePeriod)) {
 				a.endRequest(now, e, key)
@@ -236,7 +255,7 @@
 // reported usage.
 func (a *Admitter) RemoveRouter(now time.Time, router string) {
 	for _, e := range a.enginesByID() {
-		e.updateUtilization(now)
+		a.update(now, e)
 		e.queue = slices.DeleteFunc(e.queue, func(req *Request) bool { return req.Router == router })
 		for key := range e.running {
 			if key.router == router {
@@ -288,12 +307,17 @@
 
 // sortQueue sorts the queue by scheduling order, as described in the package comment.
 // Resumed streams come first because refusing one wastes the work already done for it.
-// Usage and uncached tokens are compared in steps.
+// Usage and uncached tokens are compared in steps. At a limit, starts are scarce and not the engine's time, so
+// the requests with the most work come first; the others find room on servers without a limit.
 func (a *Admitter) sortQueue(now time.Time, e *engineState) {
 	usageSteps := map[string]int{}
 	lengthSteps := make(map[*Request]int, len(e.queue))
 	for _, req := range e.queue {
-		lengthSteps[req] = min(maxLengthSteps, e.prefixCache.uncachedTokens(req.Prompt, req.Parts)/lengthStepTokens)
+		uncached := e.prefixCache.uncachedTokens(req.Prompt, req.Parts)
+		lengthSteps[req] = min(maxLengthSteps, uncached/lengthStepTokens)
+		if e.pace.limited {
+			lengthSteps[req] = -bits.Len(uint(uncached + answerTokenWork*req.Answer))
+		}
 		if _, ok := usageSteps[req.Workspace]; !ok {
 			usageSteps[req.Workspace] = int(
 				math.Log(1+a.usage.workspaceTokens(now, req.Workspace)) / math.Log(usageStepRatio))
@@ -328,6 +352,10 @@
 		if now.Before(e.suspendedUntil) && begin.Before(e.suspendedUntil) {
 			begin = e.suspendedUntil
 		}
+		paced := e.pace.next(now, len(kept))
+		if paced.After(begin) {
+			begin = paced
+		}
 		latest := req.latestStart(prefill)
 		if a.usage.workspaceTokens(now, req.Workspace)*underservedRatio < largest {
 			if late := req.latestLateStart(); late.After(latest) {
@@ -339,8 +367,12 @@
 			if a.usage.workspaceTokens(now, req.Workspace) > a.usage.mean(now) {
 				reason = ReasonOverShare
 			}
+			retryAfter := begin.Sub(now) + e.estimateWait(now)
+			if paced.After(latest) {
+				reason, retryAfter = ReasonServerLimit, e.pace.promise(now, begin)
+			}
 			a.refuse(now, e, Decision{
-				Request: req, Reason: reason, RetryAfter: begin.Sub(now) + e.estimateWait(now),
+				Request: req, Reason: reason, RetryAfter: retryAfter,
 				Ahead: len(kept), StartIn: begin.Sub(now), MaxWait: latest.Sub(now),
 			})
 			continue
@@ -410,7 +442,7 @@
 			// Another router may own the server by now.
 			continue
 		}
-		e.updateUtilization(now)
+		a.update(now, e)
 		out = append(out, Load{
 			Server: id, Wait: e.estimateWait(now), Suspended: now.Before(e.suspendedUntil),
 			Use: float32(e.utilization.value),
@@ -431,17 +463,24 @@
 	PrefillRate      float64 `json:"read-tokens-per-second"`
 	Failures         int     `json:"failures"`
 	WaitMS           float64 `json:"wait-ms"`
+	// LimitPerSecond is the limit that the server names, nil without one.
+	LimitPerSecond *float64 `json:"limit-per-second,omitempty"`
 }
 
 // Dump returns the state of all known servers for operators, sorted by server.
 func (a *Admitter) Dump(now time.Time) []ServerState {
 	var out []ServerState
 	for id, e := range a.engines {
-		out = append(out, ServerState{
+		state := ServerState{
 			Server: id, Active: e.isActive(now), Running: len(e.running), Waiting: len(e.queue),
 			ConcurrencyLimit: e.concurrencyLimit(), PrefillRate: e.prefillRate,
 			Failures: e.consecutiveFailures, WaitMS: e.estimateWait(now).Seconds() * 1000,
-		})
+		}
+		if e.pace.limited {
+			perSecond := e.pace.perSecond
+			state.LimitPerSecond = &perSecond
+		}
+		out = append(out, state)
 	}
 	slices.SortFunc(out, func(x, y ServerState) int { return cmp.Compare(x.Server, y.Server) })
 	return out
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -18,12 +18,17 @@
 	admitter Admitter
 	now      time.Time
 	ids      map[string]uint64
+	// limit is the rate that the server names, negative if none.
+	limit float64
 }
 
 func newTestDriver() *testDriver {
-	return &testDriver{
-		admitter: Admitter{UsageTimeConstant: 2 * time.Second}, now: time.Unix(1000, 0), ids: map[string]uint64{},
+	td := &testDriver{now: time.Unix(1000, 0), ids: map[string]uint64{}, limit: -1}
+	td.admitter = Admitter{
+		UsageTimeConstant: 2 * time.Second,
+		Limit:             func(string) (float64, bool) { return td.limit, td.limit >= 0 },
 	}
+	return td
 }
 
 func (td *testDriver) id(name string) uint64 {
@@ -88,7 +93,7 @@
 
 // run executes one command and returns the decisions that it caused. The command "ask" submits
 // a request, "first", "done" and "failed" record outcomes, "forget" removes a router, "heard"
-// merges the grants of a peer, and "state" returns the state of the server instead.
+// merges the grants of a peer, "limit" sets the limit that the server names, and "state" returns the state of the server instead.
 func (td *testDriver) run(t *testing.T, d *datadriven.TestData) string {
 	router := "r"
 	d.MaybeScanArgs(t, "router", &router)
@@ -109,6 +114,9 @@
 		record(Outcome{Done: true, Whole: true})
 	case "failed":
 		record(Outcome{Done: true, Failed: true})
+	case "limit":
+		td.limit = -1
+		d.MaybeScanArgs(t, "per-second", &td.limit)
 	case "cancel":
 		td.admitter.Cancel(td.now, "e", router, td.id(d.CmdArgs[0].Key))
 	case "forget":
--- a/internal/admitter/engine.go
+++ b/internal/admitter/engine.go
@@ -60,6 +60,7 @@
 	suspendedUntil      time.Time
 	// suspension is the duration of the latest suspension. It doubles with each failure.
 	suspension time.Duration
+	pace       pace
 }
 
 func newEngine(e Engine) *engineState {
@@ -93,7 +94,7 @@
 
 // canStart reports whether the engine could start a request now.
 func (e *engineState) canStart(now time.Time, req *Request) bool {
-	if now.Before(e.suspendedUntil) {
+	if now.Before(e.suspendedUntil) || now.Before(e.pace.next(now, 0)) {
 		return false
 	}
 	n := len(e.running)
@@ -125,6 +126,7 @@
 		e.prefillDoneAt = now
 	}
 	e.prefillDoneAt = e.prefillDoneAt.Add(e.prefillTime(r.prefillTokens))
+	e.pace.take(now)
 	e.running[requestKey{req.Router, req.ID}] = r
 	e.prefillOrder = append(e.prefillOrder, r)
 	return r
@@ -274,5 +276,5 @@
 	if now.Before(e.suspendedUntil) {
 		wait = max(wait, e.suspendedUntil.Sub(now))
 	}
-	return wait
+	return max(wait, e.pace.next(now, len(e.queue)).Sub(now))
 }
--- a/internal/admitter/request.go
+++ b/internal/admitter/request.go
@@ -83,6 +83,8 @@
 	ReasonTooLate Reason = "too-late"
 	// ReasonSuspended: the server is suspended after failures, or it was removed.
 	ReasonSuspended Reason = "server-suspended"
+	// ReasonServerLimit: the request would start too late at the limit that the server names.
+	ReasonServerLimit Reason = "server-limit"
 	// ReasonNoRoom: the server has no idle capacity for overflow requests.
 	ReasonNoRoom Reason = "no-room"
 )
--- a/internal/admitter/utilization.go
+++ b/internal/admitter/utilization.go
@@ -49,6 +49,9 @@
 	if now.Before(e.suspendedUntil) {
 		busyUntil = now
 	}
+	if next := e.pace.next(now, 0); next.After(busyUntil) {
+		busyUntil = next
+	}
 	e.utilization.update(now, busyUntil)
 }
 
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -14,6 +14,7 @@
 	"papayapaddle/internal/cataloger"
 	"papayapaddle/internal/failer"
 	"papayapaddle/internal/messenger"
+	"papayapaddle/internal/pacer"
 	"papayapaddle/internal/steerer"
 )
 
@@ -32,6 +33,9 @@
 	// retryAfterRouterUnheard is the retry delay if the owner of a server has lost contact with
 	// the router that asked. The next attempt reaches another router.
 	retryAfterRouterUnheard = 300 * time.Millisecond
+	// retryAfterOwnerUnreachable is the retry delay if the owners of a server with a limit cannot be reached.
+	// They then count as lost, and the next attempt reaches others.
+	retryAfterOwnerUnreachable = 300 * time.Millisecond
 	// retryAfterNoServer is the retry delay if a service has no server.
 	retryAfterNoServer = time.Second
 )
@@ -88,6 +92,8 @@
 	ReasonCanceled admitter.Reason = "caller-gone"
 	// ReasonRouterUnheard: the owner has lost contact with the router that asked.
 	ReasonRouterUnheard admitter.Reason = "router-unheard"
+	// ReasonOwnerUnreachable: no router that may own a server with a limit can be reached.
+	ReasonOwnerUnreachable admitter.Reason = "owner-unreachable"
 )
 
 // Allocator obtains slots for the requests of one router, and grants those of the servers it
@@ -98,7 +104,9 @@
 	Messenger  *messenger.Messenger
 	// Servers returns the servers of a service that may get requests.
 	Servers func(service string) []*cataloger.Server
-	Log     func(event string, keyvals ...any)
+	// Limit returns the limit that a server names, empty without one. It may be nil.
+	Limit func(server string) []pacer.News
+	Log   func(event string, keyvals ...any)
 
 	// mu protects Admitter, waiters, removedRouters and fastTicking.
 	mu       sync.Mutex
@@ -243,7 +251,7 @@
 			FirstBy: req.FirstEventBy, Deadline: req.Deadline, Arrived: req.Arrived,
 			Resumed: req.Resumed, Spare: overflow,
 		},
-		Service: req.Service.Name, Prompt: req.SharedPrefix, Tried: req.ExcludedServers,
+		Service: req.Service.Name, Prompt: req.SharedPrefix, Tried: req.ExcludedServers, Limits: a.limitOf(server.ID),
 	}
 	reply, owner, err := a.askOwners(ctx, args, server.AvailabilityZone)
 	switch {
@@ -258,13 +266,14 @@
 }
 
 // askOwners asks the owner of the requested server. If the owner cannot be reached, it asks
-// the router that would own the server without that owner, and finally decides on its own.
-// It also returns the router that decided. An error means that the context is done.
+// the router that would own the server without that owner, and finally decides on its own,
+// except about a server with a limit: several routers that do so would exceed it together. It also returns the router that decided. An error means that the context is done.
 func (a *Allocator) askOwners(
 	ctx context.Context, args *messenger.AdmitArgs, zone string,
 ) (messenger.AdmitReply, messenger.Peer, error) {
 	req := &args.Ask
-	for _, owner := range a.Membership.Owners(req.Engine.ID, zone, maxOwnersAsked) {
+	owners := a.Membership.Owners(req.Engine.ID, zone, maxOwnersAsked)
+	for _, owner := range owners {
 		if owner.Name == a.Self.Name {
 			reply, err := a.decideLocally(ctx, args)
 			return reply, a.Self, err
@@ -284,10 +293,23 @@
 		// The owner may have granted the request despite the error.
 		a.sendCancel(owner, req)
 	}
+	if len(args.Limits) > 0 && len(owners) > 0 {
+		reply := messenger.AdmitReply{Reason: ReasonOwnerUnreachable, RetryAfter: retryAfterOwnerUnreachable}
+		a.suggestServer(args, &reply)
+		return reply, a.Self, nil
+	}
 	reply, err := a.decideLocally(ctx, args)
 	return reply, a.Self, err
 }
 
+// limitOf returns the limit that a server names, empty without one.
+func (a *Allocator) limitOf(server string) []pacer.News {
+	if a.Limit == nil {
+		return nil
+	}
+	return a.Limit(server)
+}
+
 // askPeer sends a request to a peer and waits for its decision. It needs no timeout: the
 // gossip protocol detects an unresponsive peer and closes the connection to it.
 func (a *Allocator) askPeer(
@@ -343,14 +365,18 @@
 }
 
 // suggestServer adds another server to a refusal: a new home server if the requested one is
-// suspended, or else a server with idle capacity.
+// suspended or at the limit that it names, or else a server with idle capacity.
 func (a *Allocator) suggestServer(args *messenger.AdmitArgs, reply *messenger.AdmitReply) {
 	if reply.Granted || args.Ask.Spare || reply.Reason == ReasonCanceled {
 		return
 	}
 	servers, loads := a.Servers(args.Service), a.Loads()
 	tried := append(slices.Clip(args.Tried), args.Ask.Engine.ID)
-	if reply.Reason == admitter.ReasonSuspended {
+	switch reply.Reason {
+	case admitter.ReasonServerLimit, ReasonOwnerUnreachable:
+		servers = a.preferUnlimited(servers)
+		fallthrough
+	case admitter.ReasonSuspended:
 		if ranked := steerer.RankServers(args.Prompt, servers, loads, tried); len(ranked) > 0 {
 			reply.Elsewhere, reply.Home = ranked[0].ID, true
 		}
@@ -361,6 +387,20 @@
 	}
 }
 
+// preferUnlimited returns the servers without a limit, or all servers if each has one.
+func (a *Allocator) preferUnlimited(servers []*cataloger.Server) []*cataloger.Server {
+	var out []*cataloger.Server
+	for _, s := range servers {
+		if len(a.limitOf(s.ID)) == 0 {
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		return servers
+	}
+	return out
+}
+
 func newAdmitReply(d admitter.Decision) messenger.AdmitReply {
 	return messenger.AdmitReply{
 		Granted: d.Granted, Reason: d.Reason, RetryAfter: d.RetryAfter, Running: d.Running, Waiting: d.Waiting,
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -210,7 +210,10 @@
 func newAllocator(n *node, m *messenger.Messenger, w *watcher.Watcher) *allocator.Allocator {
 	return allocator.New(&allocator.Allocator{
 		Self: n.self, Membership: n.membership, Messenger: m, Log: n.log,
-		Admitter: admitter.Admitter{UsageTimeConstant: time.Duration(float64(n.settings.Bounds.QuotaWindow()) * usageDecayFraction)},
+		Admitter: admitter.Admitter{
+			UsageTimeConstant: time.Duration(float64(n.settings.Bounds.QuotaWindow()) * usageDecayFraction), Limit: n.ownedLimit,
+		},
+		Limit: n.limitNews,
 		Servers: func(service string) []*cataloger.Server {
 			if set := w.ServerSet(); set != nil {
 				servers, _ := n.withoutExcluded(set.ByService[service])
@@ -274,7 +277,7 @@
 		a.ResendSlots(address)
 	}
 	m.Handlers = messenger.Handlers{
-		Gossip: n.handleGossip, Admit: a.HandleAdmit, UpdateRequests: a.HandleRequestUpdates, FetchConfig: n.handleFetchConfig,
+		Gossip: n.handleGossip, Admit: n.handleAdmit, UpdateRequests: a.HandleRequestUpdates, FetchConfig: n.handleFetchConfig,
 		FetchServers: n.handleFetchServers,
 	}
 }
--- a/internal/conductor/gossip.go
+++ b/internal/conductor/gossip.go
@@ -197,6 +197,8 @@
 		Leaving: n.isShuttingDown(), Crowded: n.readiness.reportsOverload(), ProvenAgo: -1, Contact: n.watcher.StoreContact(),
 	}
 	out.CrashDigest, out.CrashEvidence = n.quarantiner.ForPeer(timer.SinceBoot(), peer)
+	acked, seen := n.membership.LimitsExchanged(peer)
+	out.Limits, out.LimitsSeen = n.limits.ForPeer(timer.SinceBoot(), acked), seen
 	if n.membership.FillGossip(peer, &out) {
 		out.Loads, out.Grants, out.GrantsSeen = n.allocator.GossipForPeer(peer, n.membership.AckedGrants(peer))
 	}
@@ -224,6 +226,7 @@
 		n.allocator.RemoveRouter(p.Name)
 	}
 	n.quarantiner.ApplyGossip(timer.SinceBoot(), in.From.Name, in.CrashDigest, in.CrashEvidence)
+	n.applyLimitNews(in.From.Name, in.Limits.News)
 	n.allocator.ApplyGossip(in.From.Name, in.Loads, in.Grants)
 	n.watcher.ApplyPeerContact(in.From.Name, in.Contact)
 	if in.Version > n.watcher.ConfigVersion() {
--- a/internal/conductor/limit.go
+++ b/internal/conductor/limit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayapaddle/internal/cataloger"
+	"papayapaddle/internal/messenger"
 	"papayapaddle/internal/pacer"
 	"papayapaddle/internal/relayer"
 	"papayapaddle/internal/timer"
@@ -38,6 +39,42 @@
 	n.log("server-limit", append([]any{"server", server, "per-second", perSecond}, source...)...)
 }
 
+// applyLimitNews applies limits that a peer has heard of.
+func (n *node) applyLimitNews(peer string, news []pacer.News) {
+	for _, changed := range n.limits.ApplyNews(timer.SinceBoot(), news) {
+		n.logLimit(changed.Server, changed.Named, changed.PerSecond, "peer", peer, "age-ms", changed.Ago.Milliseconds())
+	}
+}
+
+// limitNews returns the limit of a server for the owner that is asked about it.
+func (n *node) limitNews(server string) []pacer.News {
+	if news, limited := n.limits.Of(timer.SinceBoot(), server); limited {
+		return []pacer.News{news}
+	}
+	return nil
+}
+
+// handleAdmit answers the admission request of a peer.
+func (n *node) handleAdmit(args *messenger.AdmitArgs) messenger.AdmitReply {
+	n.applyLimitNews(args.Ask.Router, args.Limits)
+	return n.allocator.HandleAdmit(args)
+}
+
+// ownedLimit returns the part of a server's limit that its owner may use. Routers on the other side of a
+// network partition may have an owner of their own, so each side takes the share of its routers.
+func (n *node) ownedLimit(server string) (perSecond float64, limited bool) {
+	perSecond, limited = n.limits.Rate(server)
+	if !limited {
+		return 0, false
+	}
+	return perSecond * reachableShare(len(n.membership.Reachable()), n.membership.FleetSize()), true
+}
+
+// reachableShare returns the share of the fleet that this router can reach, itself included.
+func reachableShare(reachable, fleetSize int) float64 {
+	return min(1, float64(reachable)/float64(max(1, fleetSize)))
+}
+
 // retainLimits updates which incarnations of servers are listed.
 func (n *node) retainLimits(set *watcher.ServerSet) {
 	listed := make(map[string]int64, len(set.ByID))
--- a/internal/messenger/hubs.go
+++ b/internal/messenger/hubs.go
@@ -217,6 +217,9 @@
 		m.overloaded, m.ourLeaf, m.ourPrimaryLeaf, m.ownCount =
 			gossip.Crowded, gossip.Leaf, gossip.First, gossip.Own
 		m.ackedGrants = gossip.GrantsSeen
+		if m.Incarnation == gossip.From.Incarnation {
+			m.ackedLimits, m.seenLimits = gossip.LimitsSeen, gossip.Limits.Seen(m.seenLimits)
+		}
 	}
 	if gossip.Fleet.Size > 0 {
 		r.zoneCount, r.fleetCount = gossip.Zone, gossip.Fleet
--- a/internal/messenger/membership.go
+++ b/internal/messenger/membership.go
@@ -67,6 +67,9 @@
 	// ackedGrants is the sequence number of the last of this router's grants that it has
 	// acknowledged.
 	ackedGrants uint64
+	// ackedLimits and seenLimits are the sequence numbers of the last changes of limits that it has
+	// acknowledged and that it has sent.
+	ackedLimits, seenLimits uint64
 
 	// The fields below are used in large fleets only. unansweredSince is when the first of
 	// the gossip calls was made that it has not answered, 0 if there is none. ourHub says
@@ -196,6 +199,17 @@
 	return 0
 }
 
+// LimitsExchanged returns the sequence numbers of the last changes of limits that a router has acknowledged,
+// and that it has sent.
+func (r *Membership) LimitsExchanged(name string) (acked, seen uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.peers[name]; m != nil {
+		return m.ackedLimits, m.seenLimits
+	}
+	return 0, 0
+}
+
 // MarkUnreachable records that a call to a router failed.
 func (r *Membership) MarkUnreachable(name string) {
 	r.mu.Lock()
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayapaddle/internal/admitter"
+	"papayapaddle/internal/pacer"
 	"papayapaddle/internal/quarantiner"
 	"papayapaddle/internal/steerer"
 )
@@ -49,6 +50,10 @@
 	// CrashEvidence is that evidence, sent to peers with another digest.
 	CrashDigest   uint64
 	CrashEvidence []quarantiner.Evidence
+	// Limits are changes of the limits that backend servers name. LimitsSeen acknowledges the receiver's: it is
+	// the Till of the last ones that the sender has received.
+	Limits     pacer.Update
+	LimitsSeen uint64
 	// Known is a sample of the reachable routers that the sender knows, and in a large
 	// fleet those that restarted recently.
 	Known []Peer
@@ -87,6 +92,9 @@
 	Service string
 	Prompt  steerer.SharedPrefix
 	Tried   []string
+	// Limits holds the limit that the server names, if the sender knows one. The receiver may have become its
+	// owner only just now.
+	Limits []pacer.News
 }
 
 // AdmitReply is the owner's decision.
--- a/internal/pacer/limits.go
+++ b/internal/pacer/limits.go
@@ -186,9 +186,17 @@
 	l.rates.Store(&rates)
 }
 
-// ForPeer returns the limits that changed after the sequence number acked, which the peer has acknowledged,
-// at most maxNews, and the number up to which they are included.
-func (l *Limits) ForPeer(now time.Duration, acked uint64) (news []News, till uint64) {
+// Update carries limits that changed after the sequence number After, which the receiver has acknowledged,
+// up to Till.
+type Update struct {
+	News  []News
+	After uint64
+	Till  uint64
+}
+
+// ForPeer returns the limits that changed since the sequence number that the peer has acknowledged, at most
+// maxNews.
+func (l *Limits) ForPeer(now time.Duration, acked uint64) Update {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if acked > l.sequence {
@@ -196,7 +204,7 @@
 		acked = 0
 	}
 	if acked == l.sequence {
-		return nil, acked
+		return Update{After: acked, Till: acked}
 	}
 	var changed []string
 	for id, e := range l.servers {
@@ -207,15 +215,24 @@
 	slices.SortFunc(changed, func(a, b string) int {
 		return int(l.servers[a].changedAt) - int(l.servers[b].changedAt)
 	})
-	till = l.sequence
+	out := Update{After: acked, Till: l.sequence}
 	if len(changed) > maxNews {
 		changed = changed[:maxNews]
-		till = l.servers[changed[maxNews-1]].changedAt
+		out.Till = l.servers[changed[maxNews-1]].changedAt
 	}
 	for _, id := range changed {
-		news = append(news, l.servers[id].news(now, id))
+		out.News = append(out.News, l.servers[id].news(now, id))
+	}
+	return out
+}
+
+// Seen returns the sequence number to acknowledge after an update, if seen was acknowledged before.
+func (u Update) Seen(seen uint64) uint64 {
+	if u.After > seen {
+		// Updates before this one are missing: the peer takes this process for an earlier one.
+		return seen
 	}
-	return news, till
+	return max(seen, u.Till)
 }
 
 func (e *limit) news(now time.Duration, id string) News {
--- a/internal/pacer/limits_test.go
+++ b/internal/pacer/limits_test.go
@@ -64,9 +64,9 @@
 			case "news":
 				acked, err := strconv.ParseUint(f[2], 10, 64)
 				qt.Assert(t, err, qt.IsNil)
-				news, till := l.ForPeer(now, acked)
-				fmt.Fprintf(&out, "till %d:", till)
-				for _, n := range news {
+				update := l.ForPeer(now, acked)
+				fmt.Fprintf(&out, "till %d:", update.Till)
+				for _, n := range update.News {
 					fmt.Fprintf(&out, " %s %s ago %v", n.Server, formatRate(n.PerSecond, n.Named), n.Ago)
 				}
 				fmt.Fprintln(&out)
@@ -91,9 +91,9 @@
 		now := time.Minute
 		routers, seen := make([]Limits, 3), [3][3]uint64{}
 		exchange := func(from, to int) {
-			news, till := routers[from].ForPeer(now, seen[to][from])
-			routers[to].ApplyNews(now, news)
-			seen[to][from] = till
+			update := routers[from].ForPeer(now, seen[to][from])
+			routers[to].ApplyNews(now, update.News)
+			seen[to][from] = update.Seen(seen[to][from])
 		}
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			now += time.Duration(rapid.IntRange(1, 400).Draw(rt, "ms")) * time.Millisecond
@@ -136,8 +136,10 @@
 	for _, n := range []News{{Server: "x", Named: true, PerSecond: -1}, {Server: "x", Named: true, PerSecond: math.NaN()}, {Named: true}, {Server: "x", Named: true, Ago: -1}} {
 		c.Assert(new(Limits).ApplyNews(time.Minute, []News{n}), qt.HasLen, 0)
 	}
-	news, _ := l.ForPeer(time.Minute, 0)
-	c.Assert(news, qt.HasLen, maxNews)
+	update := l.ForPeer(time.Minute, 0)
+	c.Assert(update.News, qt.HasLen, maxNews)
+	// An update to the process before this one leaves a gap, which is not acknowledged.
+	c.Assert(l.ForPeer(time.Minute, 5).Seen(0), qt.Equals, uint64(0))
 	l.Retain(time.Minute, nil)
 	l.Retain(time.Minute+2*unlistedTTL, nil)
 	c.Assert(l.servers, qt.HasLen, 0)
