Keep plain servers within the limit that they name

While a server of a plain service names a limit, a router asks its owner (the same rendezvous hash as for model servers) before each request there. The owner spaces the starts and keeps no state of the running request. Without room, another server is picked, one without a limit if there is any; only if all have one does a request wait, as long as its objective allows.

--- a/internal/admitter/engine.go
+++ b/internal/admitter/engine.go
@@ -117,7 +117,11 @@
 }
 
 // start adds a granted request to the engine.
-func (e *engineState) start(now time.Time, req *Request) *runningRequest {
+func (e *engineState) start(now time.Time, req *Request) {
+	e.pace.take(now)
+	if e.Slots == 0 {
+		return
+	}
 	r := &runningRequest{
 		request: req, prefillTokens: e.prefixCache.uncachedTokens(req.Prompt, req.Parts), grantedAt: now,
 	}
@@ -126,10 +130,8 @@
 		e.prefillDoneAt = now
 	}
 	e.prefillDoneAt = e.prefillDoneAt.Add(e.prefillTime(r.prefillTokens))
-	e.pace.take(now)
 	e.running[requestKey{req.Router, req.ID}] = r
 	e.prefillOrder = append(e.prefillOrder, r)
-	return r
 }
 
 // recordFirstEvent records the first event of a request. As the engine has prefilled all
--- a/internal/admitter/request.go
+++ b/internal/admitter/request.go
@@ -6,7 +6,8 @@
 type Engine struct {
 	// ID is the ID of the server.
 	ID string
-	// Slots is the maximum number of concurrent requests.
+	// Slots is the maximum number of concurrent requests, or 0 if only their starts are limited, as on servers of
+	// plain services. The admitter is then told nothing after the start.
 	Slots int
 	// MemoryTokens is the size of the KV cache in tokens, or 0 if it is not limited.
 	MemoryTokens int
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -237,16 +237,36 @@
 	return nil, first
 }
 
+// AwaitStart waits until a request may start on a server of a plain service that names a limit. It returns nil
+// if the owner of the server lets it start, or why it does not.
+func (a *Allocator) AwaitStart(ctx context.Context, req *SlotRequest, server *cataloger.Server) *Refusal {
+	_, _, refusal := a.askServer(ctx, req, server, false)
+	return refusal
+}
+
 // tryServer requests a slot on one server.
 func (a *Allocator) tryServer(
 	ctx context.Context, req *SlotRequest, server *cataloger.Server, overflow bool,
 ) (*Slot, *Refusal) {
+	ask, owner, refusal := a.askServer(ctx, req, server, overflow)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return a.addSlot(&Slot{Server: server, allocator: a, request: ask, owner: owner}), nil
+}
+
+// askServer asks the owner of a server whether a request may start there. It returns the request as the owner
+// knows it, and the owner.
+func (a *Allocator) askServer(
+	ctx context.Context, req *SlotRequest, server *cataloger.Server, overflow bool,
+) (*admitter.Request, messenger.Peer, *Refusal) {
+	engine := admitter.Engine{ID: server.ID}
+	if e := req.Service.Engine; e != nil {
+		engine.Slots, engine.MemoryTokens = e.Slots, e.MemoryTokens
+	}
 	args := &messenger.AdmitArgs{
 		Ask: admitter.Request{
-			Router: a.Self.Name, ID: rand.Uint64(), Workspace: req.Workspace,
-			Engine: admitter.Engine{
-				ID: server.ID, Slots: req.Service.Engine.Slots, MemoryTokens: req.Service.Engine.MemoryTokens,
-			},
+			Router: a.Self.Name, ID: rand.Uint64(), Workspace: req.Workspace, Engine: engine,
 			Prompt: req.PromptTokens, Parts: req.PromptParts, Answer: req.AnswerTokens,
 			FirstBy: req.FirstEventBy, Deadline: req.Deadline, Arrived: req.Arrived,
 			Resumed: req.Resumed, Spare: overflow,
@@ -256,11 +276,11 @@
 	reply, owner, err := a.askOwners(ctx, args, server.AvailabilityZone)
 	switch {
 	case err != nil:
-		return nil, &Refusal{Reason: ReasonCanceled, Server: server.ID, Owner: owner.Name}
+		return nil, owner, &Refusal{Reason: ReasonCanceled, Server: server.ID, Owner: owner.Name}
 	case reply.Granted:
-		return a.addSlot(&Slot{Server: server, allocator: a, request: &args.Ask, owner: owner}), nil
+		return &args.Ask, owner, nil
 	}
-	return nil, &Refusal{
+	return nil, owner, &Refusal{
 		Reason: reply.Reason, Server: server.ID, Owner: owner.Name, Reply: reply, RetryAfter: reply.RetryAfter,
 	}
 }
--- a/internal/conductor/assignment.go
+++ b/internal/conductor/assignment.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"papayapaddle/internal/admitter"
 	"papayapaddle/internal/allocator"
+	"papayapaddle/internal/cataloger"
 	"papayapaddle/internal/relayer"
 	"papayapaddle/internal/steerer"
 )
@@ -18,6 +20,9 @@
 	resumeEventTimeout = time.Second
 	// noServerRetryAfter is the retry delay if no server of a service is available.
 	noServerRetryAfter = time.Second
+	// maxLimitedTried is the number of servers of a plain service whose owners are asked for one call. Each costs a
+	// round trip.
+	maxLimitedTried = 3
 )
 
 // assignServer assigns a server to a call: a slot on a model server, which the server's owner
@@ -47,16 +52,61 @@
 		return nil, &relayer.Refusal{Reason: "servers-unknown", RetryAfter: noServerRetryAfter}
 	}
 	servers, _ := n.withoutExcluded(set.ByService[c.Service.Name])
-	s := n.balancer.Pick(time.Now(), servers, c.ExcludedServers)
-	if s == nil {
-		return nil, &relayer.Refusal{Reason: "no-server", RetryAfter: noServerRetryAfter, LogFields: []any{"tried", len(c.ExcludedServers)}}
+	return n.pickPlainServer(ctx, c, servers)
+}
+
+// pickPlainServer picks a server of a plain service. If it names a limit, its owner decides whether the
+// request may start there; if not, another server is picked.
+func (n *node) pickPlainServer(ctx context.Context, c *relayer.Call, servers []*cataloger.Server) (*relayer.Assignment, *relayer.Refusal) {
+	unlimited := n.withoutLimit(servers)
+	tried := slices.Clone(c.ExcludedServers)
+	var refused *allocator.Refusal
+	for range maxLimitedTried {
+		s := n.balancer.Pick(time.Now(), servers, tried)
+		if s == nil {
+			break
+		}
+		refusal := n.awaitStart(ctx, c, s, len(unlimited) == 0)
+		if refusal == nil {
+			return &relayer.Assignment{
+				Server: s, ReportFirstEvent: func() {},
+				Release: func(result relayer.AttemptResult) {
+					n.balancer.RequestDone(time.Now(), s.ID, result.Failed, result.Refused, result.Duration)
+				},
+			}, nil
+		}
+		n.balancer.RequestDone(time.Now(), s.ID, false, true, 0)
+		if refused == nil || refusal.RetryAfter < refused.RetryAfter {
+			refused = refusal
+		}
+		if refusal.Reason == allocator.ReasonCanceled {
+			break
+		}
+		tried = append(tried, s.ID)
+		if len(unlimited) > 0 {
+			servers = unlimited
+		}
 	}
-	return &relayer.Assignment{
-		Server: s, ReportFirstEvent: func() {},
-		Release: func(result relayer.AttemptResult) {
-			n.balancer.RequestDone(time.Now(), s.ID, result.Failed, result.Refused, result.Duration)
-		},
-	}, nil
+	if refused != nil {
+		return nil, &relayer.Refusal{Reason: string(refused.Reason), RetryAfter: refused.RetryAfter, LogFields: refusalLogFields(refused)}
+	}
+	return nil, &relayer.Refusal{Reason: "no-server", RetryAfter: noServerRetryAfter, LogFields: []any{"tried", len(c.ExcludedServers)}}
+}
+
+// awaitStart asks the owner of a plain server with a limit whether a call may start there now or, if it may
+// wait, in time. It returns nil if the call may start, or the server has no limit.
+func (n *node) awaitStart(ctx context.Context, c *relayer.Call, s *cataloger.Server, mayWait bool) *allocator.Refusal {
+	if _, limited := n.limits.Rate(s.ID); !limited {
+		return nil
+	}
+	req := &allocator.SlotRequest{
+		Workspace: c.Workspace, Service: c.Service, Arrived: c.Arrived, FirstEventBy: time.Now(), Deadline: c.Deadline,
+		ExcludedServers: c.ExcludedServers,
+	}
+	if mayWait {
+		req.FirstEventBy = firstEventDeadline(c, time.Now())
+	}
+	return n.allocator.AwaitStart(ctx, req, s)
 }
 
 func (n *node) acquireSlot(ctx context.Context, c *relayer.Call) (*relayer.Assignment, *relayer.Refusal) {
--- a/internal/conductor/limit.go
+++ b/internal/conductor/limit.go
@@ -54,6 +54,20 @@
 	return nil
 }
 
+// withoutLimit returns the servers that name no limit.
+func (n *node) withoutLimit(servers []*cataloger.Server) []*cataloger.Server {
+	if len(n.limits.Rates()) == 0 {
+		return servers
+	}
+	var out []*cataloger.Server
+	for _, s := range servers {
+		if _, limited := n.limits.Rate(s.ID); !limited {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // handleAdmit answers the admission request of a peer.
 func (n *node) handleAdmit(args *messenger.AdmitArgs) messenger.AdmitReply {
 	n.applyLimitNews(args.Ask.Router, args.Limits)
