Answer requests whose servers are at work at the end of a stop

Operators of a similar system reported that a planned stop took requests late in the grace period and cut them at its end without an answer. It could happen here: a request that is not a stream was taken while two seconds were left, whatever time its caller and route allow, and at the end of the grace period all connections were closed.

A request that may last longer than the router is now refused once the load balancer no longer sends any (2.5 s after the start of the stop, as streams are), and those whose response has not begun 250 ms before the end are answered: 503 if they were never sent, else 502. Servers are not blamed for the requests that the stop ended.

Tests, both failed before: conductor TestRequestsAtEndOfGracePeriodAreAnswered (unexpected EOF instead of an answer), relayer testdata/shutdown (a request with 15 s taken 3 s before the end).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -122,6 +122,9 @@
 	operatorServer   *http.Server
 	cancel           context.CancelFunc
 	done             chan struct{}
+	// aborted is done once the remaining requests must be answered; abort makes it so.
+	aborted context.Context
+	abort   context.CancelFunc
 	// shutdownStart is nil before the shutdown.
 	shutdownStart atomic.Pointer[time.Time]
 	// startedAt is when the process started, and routersListedAt when it first read the list
@@ -181,6 +184,7 @@
 	n.limiter = newConcurrencyLimiter(s.Limits, func() int64 { return n.relayer.Active() })
 	n.membership = messenger.NewMembership(n.self, minFailureTimeout, timer.SinceBoot)
 	n.gcTuner = newGCTuner()
+	n.aborted, n.abort = context.WithCancel(context.Background())
 	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMB<<20) * softMemoryLimitFraction))
 	return n
 }
@@ -251,11 +255,11 @@
 		OnServerReplaced: func(server string) { w.RemoveServer(server, "another server answers at its address") },
 		RecordRequest:    func(service string) { b.RecordRequest(time.Now(), service) },
 		AllowRetry:       func(service string) bool { return b.AllowRetry(time.Now(), service) },
-		Shutdown:         n.shutdownWindow,
-		Admit:            n.limiter.admit,
-		CheckAdmission:   n.limiter.checkAdmission,
-		RequestDone:      n.limiter.release,
-		HijackAndRefuse:  n.refuseKeepAlive, RetryAfter: n.retryAfter.randomDelay,
+		Shutdown:         n.shutdownWindow, Aborted: n.aborted,
+		Admit:           n.limiter.admit,
+		CheckAdmission:  n.limiter.checkAdmission,
+		RequestDone:     n.limiter.release,
+		HijackAndRefuse: n.refuseKeepAlive, RetryAfter: n.retryAfter.randomDelay,
 		Withdrawn:  func() bool { return n.readiness.isOutOfRotation(time.Now()) },
 		BodyBudget: &relayer.MemoryBudget{MaxBytes: int64(float64(n.settings.Limits.MemoryMB<<20) * bodyMemoryFraction)},
 		Log:        n.log, ShouldLogRefusal: n.refusalLog.allow, Observe: n.metrics.recordRequest,
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -227,6 +227,40 @@
 	c.Assert(strings.Count(r.Body, "data: "), qt.Equals, 10)
 }
 
+// Guards against requests that a stop cuts without an answer at the end of the grace period, while their
+// server is still at work.
+func TestRequestsAtEndOfGracePeriodAreAnswered(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+	f.start("a", func(s *platform.Settings) { s.Bounds.GracePeriodSeconds = 5 })
+	atWork := make(chan struct{})
+	defer close(atWork)
+	for _, s := range append(f.cluster.ModelServers, f.cluster.PlainServers...) {
+		s.OnRun = func(string, string) { <-atWork }
+	}
+	type result struct {
+		resp standin.Response
+		err  error
+	}
+	results := make(chan result, 2)
+	for id, request := range map[string]standin.Request{
+		"plain": {Path: standin.PlainPrefix + "x"}, "model": {Path: standin.ModelPrefix + "x", TokenUsage: "100,30", SharedPart: "aa"},
+	} {
+		request.Router, request.ID, request.APIKey = f.settings["a"].Listen.Callers, id, standin.APIKey
+		go func() {
+			resp, err := request.Do()
+			results <- result{resp, err}
+		}()
+	}
+	eventually(c, "both requests are active", func() bool { return f.routers["a"].node.relayer.Active() == 2 })
+	c.Assert(f.routers["a"].Stop(t.Context()), qt.IsNil)
+	for range 2 {
+		r := <-results
+		c.Check(r.err, qt.IsNil)
+		c.Check(r.resp.Status, qt.Equals, http.StatusBadGateway)
+	}
+}
+
 // Guards against an entry of another writer among those of the servers that ends the routers, keeps them
 // from following the list, or adds headers to requests.
 func TestOddServerEntriesDoNotStopTheList(t *testing.T) {
--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -20,6 +20,8 @@
 	// exitReserve is left at the end of the grace period for the process to exit, which takes
 	// some time on a slow instance.
 	exitReserve = time.Second
+	// answerReserve is left before that to answer the requests whose servers are still at work.
+	answerReserve = 250 * time.Millisecond
 	// headerTimeout limits how long a caller may take to send the request header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout limits how long a caller's connection may be idle. It is longer than the
@@ -166,6 +168,7 @@
 	_, end := n.shutdownWindow()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	defer time.AfterFunc(time.Until(end.Add(-answerReserve)), n.abort).Stop()
 	pauser.Sleep(ctx, balancerReactionTime)
 	for n.relayer.Active() > 0 && pauser.Sleep(ctx, activePollPeriod) {
 	}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -52,6 +52,8 @@
 		switch {
 		case x.req.Context().Err() != nil:
 			x.setOutcome(outcomeCallerGone, statusClientClosedRequest)
+		case x.isAborted():
+			x.refuse(reasonShuttingDown, RetryElsewhereDelay)
 		default:
 			x.refuse(refusal.Reason, refusal.RetryAfter)
 		}
@@ -174,6 +176,9 @@
 
 // failRequest responds to a request whose last attempt failed.
 func (x *exchange) failRequest(ctx context.Context, failure *attemptFailure) {
+	if x.isAborted() {
+		failure.reason = reasonShuttingDown
+	}
 	switch {
 	case x.req.Context().Err() != nil:
 		x.setOutcome(outcomeCallerGone, statusClientClosedRequest)
@@ -212,7 +217,7 @@
 		}
 		failed := failure != nil && !failure.notRun || failure == nil && resp.Status >= http.StatusInternalServerError
 		assignment.Release(AttemptResult{
-			Failed:   failed && x.req.Context().Err() == nil,
+			Failed:   failed && x.req.Context().Err() == nil && !x.isAborted(),
 			Refused:  failure != nil && failure.notRun && failure.sent,
 			Duration: time.Since(start),
 		})
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -49,6 +49,9 @@
 	// Shutdown returns when the router began to shut down and when it will abort the
 	// remaining requests. Both are zero if it is not shutting down.
 	Shutdown func() (start, end time.Time)
+	// Aborted is done shortly before the end of a shutdown. Requests whose response has not begun are then
+	// answered without one from a server. If nil, it is never done.
+	Aborted context.Context
 	// Admit admits a workspace's request and returns "", or returns the reason for refusing it
 	// because of overload. active is the number of requests being served. RequestDone is
 	// called when an admitted request has ended. CheckAdmission returns the same as Admit
@@ -103,12 +106,9 @@
 	RetryElsewhereDelay = 200 * time.Millisecond
 	// defaultMaxBodyBytes limits request bodies if the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
-	// streamAcceptWindow is how long after the start of a shutdown streams, which may take
-	// long, are accepted.
-	streamAcceptWindow = 2500 * time.Millisecond
-	// maxRequiredTime limits the time that must be left until the end of a shutdown to accept
-	// a request that is not a stream. Routes with a shorter timeout require less.
-	maxRequiredTime = 2 * time.Second
+	// shutdownAcceptWindow is how long after the start of a shutdown requests are accepted that may last
+	// longer than the router.
+	shutdownAcceptWindow = 2500 * time.Millisecond
 	// statusClientClosedRequest is logged if the caller disconnected before the response.
 	statusClientClosedRequest = 499
 )
@@ -264,6 +264,10 @@
 	}
 	ctx, cancel := context.WithDeadline(x.req.Context(), x.call.Deadline)
 	defer cancel()
+	if x.Aborted != nil {
+		stop := context.AfterFunc(x.Aborted, cancel)
+		defer stop()
+	}
 	x.RecordRequest(x.call.Service.Name)
 	if x.call.Route.Kind == cataloger.RouteStream {
 		x.serveStream(ctx)
@@ -308,7 +312,7 @@
 		return false
 	}
 	if x.tooLateForShutdown() {
-		x.refuse("shutting-down", RetryElsewhereDelay)
+		x.refuse(reasonShuttingDown, RetryElsewhereDelay)
 		return false
 	}
 	if reason := x.Admit(x.call.Route.Kind, x.call.Workspace, x.active.Load()); reason != "" {
@@ -332,17 +336,23 @@
 	return true
 }
 
-// tooLateForShutdown reports whether the request could not be finished before the router shuts
-// down.
+// reasonShuttingDown is the reason in the log if a request is refused or fails because of a shutdown.
+const reasonShuttingDown = "shutting-down"
+
+// isAborted reports whether the end of a shutdown ended the request.
+func (x *exchange) isAborted() bool { return x.Aborted != nil && x.Aborted.Err() != nil }
+
+// tooLateForShutdown reports whether the request may last longer than the router. Requests that arrive soon
+// after the start of a shutdown, while the load balancer still sends some, are accepted nevertheless.
 func (x *exchange) tooLateForShutdown() bool {
 	start, end := x.Shutdown()
 	switch {
 	case start.IsZero():
 		return false
-	case x.call.Route.Kind == cataloger.RouteStream:
-		return time.Since(start) > streamAcceptWindow
+	case time.Since(start) <= shutdownAcceptWindow:
+		return false
 	}
-	return time.Until(end) < min(x.call.Route.Timeout, maxRequiredTime)
+	return x.call.Route.Kind == cataloger.RouteStream || x.call.Deadline.After(end)
 }
 
 // defaultTimeout applies if neither the caller nor the route sets a timeout.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -94,6 +94,10 @@
 		Name: "book", Host: "h", Prefix: "/book/", Kind: cataloger.RouteNonIdempotent, MaxAttempts: 1,
 		Timeout: time.Second, LatencyObjective: 100 * time.Millisecond,
 	},
+	{
+		Name: "order", Host: "h", Prefix: "/order/", Kind: cataloger.RouteNonIdempotent, MaxAttempts: 1,
+		Timeout: 15 * time.Second, LatencyObjective: 100 * time.Millisecond,
+	},
 	{
 		Name: "chat", Host: "h", Prefix: "/chat/", Kind: cataloger.RouteStream, Resumable: true, MaxAttempts: 2,
 		Timeout: 15 * time.Second, LatencyObjective: 400 * time.Millisecond, MaxEventGap: 400 * time.Millisecond,
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -123,6 +123,7 @@
 	if failure == nil && resp.Status >= http.StatusInternalServerError {
 		failed = true
 	}
+	failed = failed && !x.isAborted()
 	assignment.Release(AttemptResult{
 		Failed:  failed && !errors.Is(failure.cause(), errCallerWrite),
 		Refused: failure != nil && failure.notRun && failure.sent, Duration: time.Since(start),
