Rehearse engines that name a limit

The decision which other server a refused request goes to moves from allocator to steerer.Alternative, so that the rehearsal uses the one of the routers.

--- a/internal/admitter/request.go
+++ b/internal/admitter/request.go
@@ -86,6 +86,8 @@
 	ReasonSuspended Reason = "server-suspended"
 	// ReasonServerLimit: the request would start too late at the limit that the server names.
 	ReasonServerLimit Reason = "server-limit"
+	// ReasonOwnerUnreachable: no router that may own a server with a limit can be reached.
+	ReasonOwnerUnreachable Reason = "owner-unreachable"
 	// ReasonNoRoom: the server has no idle capacity for overflow requests.
 	ReasonNoRoom Reason = "no-room"
 )
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -92,8 +92,6 @@
 	ReasonCanceled admitter.Reason = "caller-gone"
 	// ReasonRouterUnheard: the owner has lost contact with the router that asked.
 	ReasonRouterUnheard admitter.Reason = "router-unheard"
-	// ReasonOwnerUnreachable: no router that may own a server with a limit can be reached.
-	ReasonOwnerUnreachable admitter.Reason = "owner-unreachable"
 )
 
 // Allocator obtains slots for the requests of one router, and grants those of the servers it
@@ -314,7 +312,7 @@
 		a.sendCancel(owner, req)
 	}
 	if len(args.Limits) > 0 && len(owners) > 0 {
-		reply := messenger.AdmitReply{Reason: ReasonOwnerUnreachable, RetryAfter: retryAfterOwnerUnreachable}
+		reply := messenger.AdmitReply{Reason: admitter.ReasonOwnerUnreachable, RetryAfter: retryAfterOwnerUnreachable}
 		a.suggestServer(args, &reply)
 		return reply, a.Self, nil
 	}
@@ -384,41 +382,17 @@
 	})
 }
 
-// suggestServer adds another server to a refusal: a new home server if the requested one is
-// suspended or at the limit that it names, or else a server with idle capacity.
+// suggestServer adds another server to a refusal.
 func (a *Allocator) suggestServer(args *messenger.AdmitArgs, reply *messenger.AdmitReply) {
 	if reply.Granted || args.Ask.Spare || reply.Reason == ReasonCanceled {
 		return
 	}
 	servers, loads := a.Servers(args.Service), a.Loads()
 	tried := append(slices.Clip(args.Tried), args.Ask.Engine.ID)
-	switch reply.Reason {
-	case admitter.ReasonServerLimit, ReasonOwnerUnreachable:
-		servers = a.preferUnlimited(servers)
-		fallthrough
-	case admitter.ReasonSuspended:
-		if ranked := steerer.RankServers(args.Prompt, servers, loads, tried); len(ranked) > 0 {
-			reply.Elsewhere, reply.Home = ranked[0].ID, true
-		}
-		return
-	}
-	if s := steerer.OverflowServer(args.Prompt, servers, loads, tried); s != nil {
-		reply.Elsewhere = s.ID
-	}
-}
-
-// preferUnlimited returns the servers without a limit, or all servers if each has one.
-func (a *Allocator) preferUnlimited(servers []*cataloger.Server) []*cataloger.Server {
-	var out []*cataloger.Server
-	for _, s := range servers {
-		if len(a.limitOf(s.ID)) == 0 {
-			out = append(out, s)
-		}
-	}
-	if len(out) == 0 {
-		return servers
+	limited := func(server string) bool { return len(a.limitOf(server)) > 0 }
+	if s, home := steerer.Alternative(args.Prompt, servers, loads, tried, reply.Reason, limited); s != nil {
+		reply.Elsewhere, reply.Home = s.ID, home
 	}
-	return out
 }
 
 func newAdmitReply(d admitter.Decision) messenger.AdmitReply {
--- a/internal/rehearser/engine.go
+++ b/internal/rehearser/engine.go
@@ -41,7 +41,9 @@
 	cachedTokens map[string]int
 	stepping     bool
 	// crashes is how often the engine has crashed, and downUntil until when it refuses requests.
-	crashes   int
+	crashes int
+	// limit is nil while the engine names none.
+	limit     *engineLimit
 	downUntil time.Duration
 }
 
--- a/internal/rehearser/load.go
+++ b/internal/rehearser/load.go
@@ -59,7 +59,7 @@
 
 // Event is a temporary change of the requests or a temporary engine fault.
 type Event struct {
-	// Kind is burst, hot-workspace, hot-part, slow-engines, dead-engines or deadly-part.
+	// Kind is burst, hot-workspace, hot-part, slow-engines, dead-engines, limited-engines or deadly-part.
 	Kind            string  `yaml:"kind"`
 	StartSecond     float64 `yaml:"at"`
 	DurationSeconds float64 `yaml:"for"`
@@ -72,6 +72,8 @@
 	WorkspaceRank int `yaml:"workspace"`
 	// EngineCount is the number of engines with the fault.
 	EngineCount int `yaml:"count"`
+	// LimitPerSecond is the limit, in requests a second, that each of limited-engines names.
+	LimitPerSecond float64 `yaml:"limit-per-second"`
 }
 
 func (e Event) active(second float64) bool {
@@ -110,7 +112,7 @@
 	}
 	for _, e := range wl.Events {
 		switch e.Kind {
-		case "burst", "hot-workspace", "hot-part", "slow-engines", "dead-engines", "deadly-part":
+		case "burst", "hot-workspace", "hot-part", "slow-engines", "dead-engines", "limited-engines", "deadly-part":
 		default:
 			problems = append(problems, fmt.Sprintf("event kind %q is not known", e.Kind))
 		}
@@ -140,8 +142,10 @@
 	submittedAt time.Duration
 	engine      *engine
 	// overflow means that the request was sent to an engine other than the home of its
-	// prefix. retryAfter is the retry delay that the home returned with its refusal.
+	// prefix. redirected means that its home refused this attempt, and retryAfter is the retry
+	// delay that the home returned.
 	overflow     bool
+	redirected   bool
 	retryAfter   time.Duration
 	firstTokenAt time.Duration
 	outcome      string
--- a/internal/rehearser/rehearser.go
+++ b/internal/rehearser/rehearser.go
@@ -75,6 +75,8 @@
 	report  Report
 	// quarantiner is that of the whole fleet.
 	quarantiner quarantiner.Quarantiner
+	// limits holds the limits of engines that the routers know.
+	limits map[string]float64
 }
 
 // epoch is the wall clock time at which virtual time starts.
@@ -89,8 +91,12 @@
 
 // Run simulates a workload.
 func Run(wl *Workload) Report {
-	sim := &simulation{workload: wl, engines: map[string]*engine{}, pending: map[uint64]*request{}}
+	sim := &simulation{workload: wl, engines: map[string]*engine{}, pending: map[uint64]*request{}, limits: map[string]float64{}}
 	sim.admitter.UsageTimeConstant = usageTimeConstant
+	sim.admitter.Limit = func(server string) (float64, bool) {
+		perSecond, limited := sim.limits[server]
+		return perSecond, limited
+	}
 	sim.report.Classes = map[string]*Score{}
 	sim.report.Workspaces = make([]Score, wl.WorkspaceCount)
 	for i := range wl.EngineCount {
@@ -103,6 +109,7 @@
 	}
 	for _, e := range wl.Events {
 		sim.scheduleEngineFaults(e)
+		sim.scheduleLimits(e)
 	}
 	end := time.Duration(wl.DurationSeconds*float64(time.Second)) + drainTime
 	sim.tick(end)
@@ -170,7 +177,7 @@
 		return
 	}
 	ranked := steerer.RankServers(r.sharedPrefix(), sim.upServers(), sim.loads, nil)
-	r.submittedAt = sim.now
+	r.submittedAt, r.redirected = sim.now, false
 	sim.submit(r, ranked[0], false)
 }
 
@@ -207,19 +214,22 @@
 		case d.Granted:
 			sim.schedule(networkDelay, func() { sim.startOnEngine(r) })
 		default:
-			sim.tryOverflowServer(r, d)
+			sim.tryAlternative(r, d)
 		}
 	}
 }
 
-// tryOverflowServer submits a request refused by its home to a server with idle
-// capacity, once. If there is none, or it refuses too, the caller is refused with the
-// retry delay from the home.
-func (sim *simulation) tryOverflowServer(r *request, d admitter.Decision) {
-	if !r.overflow {
-		r.retryAfter = d.RetryAfter
-		if s := steerer.OverflowServer(r.sharedPrefix(), sim.servers, sim.loads, []string{r.engine.id}); s != nil {
-			sim.schedule(networkDelay, func() { sim.submit(r, s, true) })
+// tryAlternative submits a request refused by its home to another server, once. If there is
+// none, or it refuses too, the caller is refused with the retry delay from the home.
+func (sim *simulation) tryAlternative(r *request, d admitter.Decision) {
+	if !r.redirected {
+		r.redirected, r.retryAfter = true, d.RetryAfter
+		limited := func(server string) bool {
+			_, ok := sim.limits[server]
+			return ok
+		}
+		if s, home := steerer.Alternative(r.sharedPrefix(), sim.servers, sim.loads, []string{r.engine.id}, d.Reason, limited); s != nil {
+			sim.schedule(networkDelay, func() { sim.submit(r, s, !home) })
 			return
 		}
 	}
@@ -254,6 +264,7 @@
 	if r.deadly {
 		sim.report.DeadlySent++
 	}
+	sim.recordLimitedStart(eng)
 	if _, ok := eng.prefixUsedAt[r.prefix]; !ok && r.prefixTokens > 0 {
 		sim.report.PrefixTokensPrefilled += r.prefixTokens
 	}
--- a/internal/rehearser/report.go
+++ b/internal/rehearser/report.go
@@ -57,6 +57,9 @@
 	EngineCrashes      int
 	DeadlySent         int
 	WronglyQuarantined int
+	// OverLimit is the largest ratio of the requests that an engine with a limit got in some limitWindow to those
+	// that the users allow it.
+	OverLimit float64
 
 	usage          [][]usageSecond
 	largestRequest float64
@@ -184,6 +187,9 @@
 	line("longest-tenth", r.LongPrompts)
 	fmt.Fprintf(w, "bound %.3f of-bound %.3f\n", r.UpperBound, r.Total.ValueShare()/r.UpperBound)
 	fmt.Fprintf(w, "refusals %d longest-ms=%d\n", r.Refusals, r.MaxRefusalDelay.Milliseconds())
+	if r.OverLimit > 0 {
+		fmt.Fprintf(w, "over-limit %.2f\n", r.OverLimit)
+	}
 	if r.DeadlySent > 0 {
 		fmt.Fprintf(w, "engine-crashes %d deadly-sent %d wrongly-quarantined %d\n", r.EngineCrashes, r.DeadlySent, r.WronglyQuarantined)
 	}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -70,6 +70,29 @@
 	return ranked
 }
 
+// Alternative returns another server for a prompt that a server refused for a reason, or nil: a new home if
+// that server is suspended or at the limit that it names, or else a server with idle capacity. A new home
+// has no limit itself if there is such a server.
+func Alternative(
+	prefix SharedPrefix, servers []*cataloger.Server, loads map[string]Load, exclude []string,
+	reason admitter.Reason, limited func(server string) bool,
+) (s *cataloger.Server, home bool) {
+	switch reason {
+	case admitter.ReasonServerLimit, admitter.ReasonOwnerUnreachable:
+		unlimited := slices.DeleteFunc(slices.Clone(servers), func(s *cataloger.Server) bool { return limited(s.ID) })
+		if len(unlimited) > 0 {
+			servers = unlimited
+		}
+	case admitter.ReasonSuspended:
+	default:
+		return OverflowServer(prefix, servers, loads, exclude), false
+	}
+	if ranked := RankServers(prefix, servers, loads, exclude); len(ranked) > 0 {
+		return ranked[0], true
+	}
+	return nil, false
+}
+
 // OverflowServer returns a server with idle capacity for a prompt whose home server has none,
 // or nil. With unchanged loads, it returns the same server for the same prefix.
 func OverflowServer(
