--- a/internal/conductor/quarantine_test.go
+++ b/internal/conductor/quarantine_test.go
@@ -21,6 +21,9 @@
 	// reach servers from then on.
 	crashesBeforeVerdict = 5
 	maxSentAfterVerdict  = 3
+	// maxCrashesOfOneRequest is the number of servers that one request may crash before no router sends it, with
+	// one that is sent while routers exchange what they have seen.
+	maxCrashesOfOneRequest = 4
 	// crashInterval is the time between two requests with the part. It lets routers exchange what
 	// they have seen.
 	crashInterval = 500 * time.Millisecond
@@ -94,6 +97,52 @@
 	c.Assert(slices.Contains(runs.ids, "sound"), qt.IsTrue)
 }
 
+// Guards against one request that crashes one server after the other while its caller repeats it, through
+// one router after the other, and against a refusal of other requests that share parts of its prompt or its path.
+func TestOneRequestCrashesOneServerAfterAnother(t *testing.T) {
+	for _, service := range []struct{ name, path, tokens string }{
+		{"model", standin.ModelPrefix + "x", "100,30"}, {"plain", standin.PlainPrefix + "x", ""},
+	} {
+		t.Run(service.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(c, "a", "b", "c")
+			runs := &runLog{}
+			for _, s := range append(f.cluster.ModelServers, f.cluster.PlainServers...) {
+				s.CrashBody, s.OnRun = "bad", runs.add
+			}
+			routers := []string{"a", "b", "c"}
+			call := func(router, id, body string) standin.Response {
+				// Requests that a server takes with it get no answer.
+				resp, _ := standin.Request{
+					Router: f.settings[router].Listen.Callers, Path: service.path, ID: id, APIKey: standin.APIKey,
+					TokenUsage: service.tokens, SharedPart: "subject", OwnPart: body, Body: body,
+				}.Do()
+				return resp
+			}
+			for i, r := range routers {
+				eventually(c, "a sound request is answered before", func() bool { return call(r, "before", fmt.Sprint("good-", i)).Status == http.StatusOK })
+			}
+			tick := time.NewTicker(crashInterval)
+			defer tick.Stop()
+			for i := range 3 * maxCrashesOfOneRequest {
+				<-tick.C
+				call(routers[i%len(routers)], fmt.Sprintf("bad-%d", i), "bad")
+				resp := call(routers[(i+1)%len(routers)], fmt.Sprintf("sound-%d", i), fmt.Sprintf("good-%d", i))
+				c.Check(resp.Status, qt.Not(qt.Equals), http.StatusUnprocessableEntity)
+			}
+			sent := 0
+			for i := range 3 * maxCrashesOfOneRequest {
+				sent += runs.count(fmt.Sprintf("bad-%d", i))
+			}
+			c.Check(sent <= maxCrashesOfOneRequest, qt.IsTrue, qt.Commentf("%d reached servers", sent))
+			for _, r := range routers {
+				c.Check(call(r, "refused", "bad").Status, qt.Equals, http.StatusUnprocessableEntity)
+				eventually(c, "a sound request is answered by "+r, func() bool { return call(r, "after", "good").Status == http.StatusOK })
+			}
+		})
+	}
+}
+
 // Guards against routers that all start again, at the same moment, and then let a part crash servers as if
 // it were new.
 func TestVerdictOutlivesAllRouters(t *testing.T) {
