Recognize the end of a silent server by its entry

The losses of a server that is silent are kept for eight seconds and count once it is no longer listed, or listed as another incarnation.

Test: conductor TestSilentServersEndWithTheirEntry.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -98,8 +98,9 @@
 	budgeter   *budgeter.Budgeter
 	sender     *sender.Sender
 	relayer    *relayer.Relayer
-	// quarantiner holds the prompt parts that crash servers.
-	quarantiner *quarantiner.Quarantiner
+	// quarantiner holds what crashes servers, and crashDetector finds out that they crashed.
+	quarantiner   *quarantiner.Quarantiner
+	crashDetector *crashDetector
 	// verdictsChanged receives a value after changes of the verdicts on prompt parts.
 	verdictsChanged chan struct{}
 	// excluder holds the servers that told this router to send them nothing.
@@ -268,10 +269,10 @@
 
 // wire connects components that call each other.
 func wire(n *node, st *platform.Store, w *watcher.Watcher, m *messenger.Messenger, a *allocator.Allocator,
-	b *budgeter.Budgeter, s *sender.Sender, r *relayer.Relayer, q *quarantiner.Quarantiner) {
+	b *budgeter.Budgeter, s *sender.Sender, r *relayer.Relayer, q *quarantiner.Quarantiner, d *crashDetector) {
 	n.store, n.watcher, n.messenger, n.allocator = st, w, m, a
 	n.budgeter, n.sender, n.relayer = b, s, r
-	n.quarantiner = q
+	n.quarantiner, n.crashDetector = q, d
 	w.OnServers = n.handleServerChange
 	m.OnUpdatesLost = func(address string, outcomes int, err error) {
 		n.log("settle-lost", "peer", address, "outcomes", outcomes, "err", err)
@@ -298,6 +299,7 @@
 	n.setReleases(set)
 	n.retainExclusions(set)
 	n.retainLimits(set)
+	n.crashDetector.handleServerList(set.ByID)
 }
 
 // shutdownWindow returns when the shutdown began and when it must be over, or zero times if
--- a/internal/conductor/crash_detector.go
+++ b/internal/conductor/crash_detector.go
@@ -18,22 +18,36 @@
 	// crashReportWindow is how long after a server ended further losses are taken for its own without
 	// another probe.
 	crashReportWindow = time.Second
-	// maxLostRequests limits the prompts that wait for one probe.
+	// maxLostRequests limits the requests that wait for one probe.
 	maxLostRequests = 256
+	// silentLossTTL is how long the losses of a silent server are kept. Its entry lapses within three heartbeats if it
+	// has ended.
+	silentLossTTL = 8 * time.Second
+	// maxSilentServers limits the silent servers whose losses are kept.
+	maxSilentServers = 256
 )
 
-// crashDetector finds out whether servers ended whose connections broke: such a server refuses new
-// connections. All exported fields must be set.
+// crashDetector finds out whether servers ended whose connections broke: such a server refuses new connections, or
+// is silent until its entry lapses. All exported fields must be set.
 type crashDetector struct {
 	Dial linker.DialFunc
 	// MayProbe reports whether a server may get a connection. One that is shutting down refuses them
 	// while its last answers are whole.
 	MayProbe func(*cataloger.Server) bool
-	// OnCrash is called with the prompts that a server held when it ended.
+	// OnCrash is called with the requests that a server held when it ended.
 	OnCrash func(s *cataloger.Server, lost []quarantiner.LostRequest)
 
 	mu     sync.Mutex
 	losses map[uint64]*serverLoss
+	// silent are the servers that neither accepted nor refused a connection after a loss.
+	silent map[uint64]silentLoss
+}
+
+// silentLoss is what a silent server has lost.
+type silentLoss struct {
+	server    *cataloger.Server
+	lost      []quarantiner.LostRequest
+	keptUntil time.Time
 }
 
 // serverLoss is what one incarnation of a server has lost.
@@ -45,7 +59,7 @@
 
 func serverKey(s *cataloger.Server) uint64 { return quarantiner.ServerKey(s.ID, s.StartedUnixMilli) }
 
-// requestLost records a prompt whose connection broke. It does not block.
+// requestLost records a request whose connection broke. It does not block.
 func (d *crashDetector) requestLost(s *cataloger.Server, p quarantiner.LostRequest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -68,7 +82,8 @@
 
 // probe finds out whether a server ended and reports what it lost.
 func (d *crashDetector) probe(s *cataloger.Server) {
-	ended := d.ended(context.Background(), s)
+	state := d.dial(context.Background(), s)
+	ended := state == serverRefuses
 	d.mu.Lock()
 	l := d.losses[serverKey(s)]
 	lost := l.lost
@@ -78,6 +93,9 @@
 	} else {
 		delete(d.losses, serverKey(s))
 	}
+	if state == serverSilent {
+		d.keepSilent(s, lost)
+	}
 	d.mu.Unlock()
 	if ended {
 		d.OnCrash(s, lost)
@@ -90,19 +108,69 @@
 	delete(d.losses, serverKey(s))
 }
 
+// keepSilent keeps the losses of a silent server. The lock must be held.
+func (d *crashDetector) keepSilent(s *cataloger.Server, lost []quarantiner.LostRequest) {
+	if d.silent == nil {
+		d.silent = map[uint64]silentLoss{}
+	}
+	kept, known := d.silent[serverKey(s)]
+	if !known && len(d.silent) >= maxSilentServers {
+		return
+	}
+	kept.server, kept.keptUntil = s, time.Now().Add(silentLossTTL)
+	kept.lost = append(kept.lost, lost...)
+	kept.lost = kept.lost[:min(len(kept.lost), maxLostRequests)]
+	d.silent[serverKey(s)] = kept
+}
+
+// handleServerList reports the silent servers that are no longer listed, or listed as another incarnation. One
+// that shuts down has not crashed.
+func (d *crashDetector) handleServerList(servers map[string]*cataloger.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, l := range d.silent {
+		listed := servers[l.server.ID]
+		gone := listed == nil || !listed.SameIncarnation(l.server)
+		if gone || listed.Draining || time.Now().After(l.keptUntil) {
+			delete(d.silent, key)
+		}
+		if gone && time.Now().Before(l.keptUntil) {
+			go d.OnCrash(l.server, l.lost)
+		}
+	}
+}
+
+// serverState is what an attempt to connect shows of a server.
+type serverState int
+
+const (
+	serverAccepts serverState = iota
+	// serverRefuses: no process listens at its address.
+	serverRefuses
+	// serverSilent: it has ended with its machine, or cannot be reached.
+	serverSilent
+)
+
 // ended reports whether a server refuses connections. One that does not respond may only be
 // unreachable.
 func (d *crashDetector) ended(ctx context.Context, s *cataloger.Server) bool {
+	return d.dial(ctx, s) == serverRefuses
+}
+
+func (d *crashDetector) dial(ctx context.Context, s *cataloger.Server) serverState {
 	if !d.MayProbe(s) {
-		return false
+		return serverAccepts
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	conn, err := d.Dial(ctx, "tcp", s.Address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
+		return serverRefuses
+	case err != nil:
+		return serverSilent
 	}
 	// No request was sent on it.
 	_ = conn.Close()
-	return false
+	return serverAccepts
 }
--- a/internal/conductor/crash_detector_test.go
+++ b/internal/conductor/crash_detector_test.go
@@ -73,3 +73,56 @@
 		})
 	}
 }
+
+// Guards against the end of a server that is missed because it does not refuse connections: its machine is gone, and
+// only its entry tells, which lapses later.
+func TestSilentServersEndWithTheirEntry(t *testing.T) {
+	s := &cataloger.Server{ID: "s", Address: "10.0.0.1:80", StartedUnixMilli: 1}
+	leaving := *s
+	leaving.Draining = true
+	other := *s
+	other.StartedUnixMilli = 2
+	for _, tt := range []struct {
+		name     string
+		after    time.Duration
+		listed   *cataloger.Server
+		reported int
+	}{
+		{"its entry lapses", 4 * time.Second, nil, 2},
+		{"it starts again", 4 * time.Second, &other, 2},
+		{"it stays listed", 4 * time.Second, s, 0},
+		{"it shuts down", 4 * time.Second, &leaving, 0},
+		{"its entry lapses much later", time.Minute, nil, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reported := 0
+				d := &crashDetector{
+					Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+						<-ctx.Done()
+						return nil, ctx.Err()
+					},
+					MayProbe: func(*cataloger.Server) bool { return true },
+					OnCrash:  func(_ *cataloger.Server, lost []quarantiner.LostRequest) { reported += len(lost) },
+				}
+				d.requestLost(s, quarantiner.LostRequest{})
+				time.Sleep(2 * probeTimeout)
+				d.handleServerList(map[string]*cataloger.Server{"s": s})
+				d.requestLost(s, quarantiner.LostRequest{})
+				time.Sleep(tt.after)
+				servers := map[string]*cataloger.Server{}
+				if tt.listed != nil {
+					servers["s"] = tt.listed
+				}
+				d.handleServerList(servers)
+				synctest.Wait()
+				qt.Assert(t, reported, qt.Equals, tt.reported)
+				d.handleServerList(nil)
+				synctest.Wait()
+				if tt.listed != s {
+					qt.Assert(t, d.silent, qt.HasLen, 0)
+				}
+			})
+		})
+	}
+}
