Soak with servers that name a limit

One server, or all of a service, names 0, 2 or 4.5 requests a second for 12 s. The soak checks what back ends get in every 4 s from the incarnations of routers that have heard it half a second before; requests that a frozen router or a faulty connection held back do not count.

--- a/internal/soaker/faults_test.go
+++ b/internal/soaker/faults_test.go
@@ -17,7 +17,7 @@
 	killRouter, killRouter, pauseRouter, pauseRouter, killAllRouters, stopRouter, stopRouter, stopRouter,
 	sendSIGHUP, disruptStoreProxies, disruptStoreProxies, disruptServerProxy, disruptServerProxy,
 	makeStoreUnavailable, compactStore, makeServersMisbehave, makeServersMisbehave,
-	rotateKey, rotateKey, rotateKey, drainServer, sendDeadlyPart, leaveServer, pauseServers}
+	rotateKey, rotateKey, rotateKey, drainServer, sendDeadlyPart, leaveServer, pauseServers, limitServers}
 
 // injectFaults injects random faults for a duration. Faults can overlap.
 func (s *soak) injectFaults(duration time.Duration) {
@@ -48,6 +48,7 @@
 func pauseRouter(s *soak, duration time.Duration) {
 	s.markDisturbed(duration)
 	p := s.randomProcess()
+	s.holdBack(p.settings.Name, duration)
 	p.signal(syscall.SIGSTOP)
 	schedule(duration, func() { p.signal(syscall.SIGCONT) })
 }
@@ -90,7 +91,9 @@
 
 func disruptServerProxy(s *soak, duration time.Duration) {
 	s.markDisturbed(duration)
-	s.injectProxyFault(s.serverProxies[s.servers[s.rng.IntN(len(s.servers))].ID], duration)
+	server := s.servers[s.rng.IntN(len(s.servers))]
+	s.holdBack(server.ID, duration)
+	s.injectProxyFault(s.serverProxies[server.ID], duration)
 }
 
 func makeStoreUnavailable(s *soak, duration time.Duration) {
--- a/internal/soaker/harness_test.go
+++ b/internal/soaker/harness_test.go
@@ -73,8 +73,12 @@
 	pausingUntil   map[string]time.Time
 	toldLeaving    map[string]time.Time
 	toldPauses     map[string]*toldPause
-	servedCounts   map[string]int
-	requestCounts  map[string]int
+	// limits are the limits that servers name. heldBackUntil is until when requests of a router or to a
+	// server may arrive late.
+	limits        map[string]*namedLimit
+	heldBackUntil map[string]time.Time
+	servedCounts  map[string]int
+	requestCounts map[string]int
 	// misbehaveUntil is the time until which backend servers mishandle a third of their requests.
 	misbehaveUntil time.Time
 }
@@ -332,6 +336,7 @@
 		firstAccepted: map[string]time.Time{},
 		drainingSince: map[string]time.Time{}, leavingServers: map[string]bool{}, pausingUntil: map[string]time.Time{},
 		toldLeaving: map[string]time.Time{}, toldPauses: map[string]*toldPause{},
+		limits: map[string]*namedLimit{}, heldBackUntil: map[string]time.Time{},
 		servedCounts:  map[string]int{},
 		requestCounts: map[string]int{},
 		apiKeys:       map[string][]string{standin.Workspace: {standin.APIKey}, "other": {"key-of-other"}},
