--- a/internal/rehearser/crash.go
+++ b/internal/rehearser/crash.go
@@ -14,25 +14,32 @@
 	crashDowntime = 3200 * time.Millisecond
 	// evidenceDelay is the time from a crash until all routers know of it.
 	evidenceDelay = 300 * time.Millisecond
-	// deadlyPart is the name of the prompt part that crashes engines.
-	deadlyPart = "deadly"
+	// deadlyPart is the name of the prompt part that crashes engines, and deadlyContent is that of the
+	// request that does.
+	deadlyPart    = "deadly"
+	deadlyContent = "deadly"
 )
 
-// prompt returns the shared parts of a request's prompt for the quarantiner.
-func (r *request) prompt() quarantiner.Request {
-	p := quarantiner.Request{
+// identity returns what the quarantiner knows of a request.
+func (r *request) identity() quarantiner.Request {
+	content := r.uniquePart()
+	if r.repeated {
+		content = deadlyContent
+	}
+	out := quarantiner.Request{
 		Workspace: quarantiner.WorkspaceKey(strconv.Itoa(r.workspace)),
 		Parts:     []uint64{quarantiner.PartKey("service", "m", r.prefix)},
+		Content:   quarantiner.ContentKey("service", []byte(content)),
 	}
-	if r.deadly {
-		p.Parts = append(p.Parts, quarantiner.PartKey("service", "m", deadlyPart))
+	if r.deadly && !r.repeated {
+		out.Parts = append(out.Parts, quarantiner.PartKey("service", "m", deadlyPart))
 	}
-	return p
+	return out
 }
 
-// isQuarantined reports whether a request is refused for a part of its prompt, and records its end.
+// isQuarantined reports whether a request is refused because it crashes engines, and records its end.
 func (sim *simulation) isQuarantined(r *request) bool {
-	if _, refused, _ := sim.quarantiner.Check(sim.now, r.prompt()); !refused {
+	if _, refused, _ := sim.quarantiner.Check(sim.now, r.identity()); !refused {
 		return false
 	}
 	if !r.deadly {
@@ -51,7 +58,7 @@
 	var lost []quarantiner.LostRequest
 	for _, er := range append(eng.running, eng.queue...) {
 		if !er.started || er.request.deadly {
-			lost = append(lost, quarantiner.LostRequest{Request: er.request.prompt(), Begun: er.started})
+			lost = append(lost, quarantiner.LostRequest{Request: er.request.identity(), Begun: er.started})
 		}
 		sim.recordOutcome(er.request, admitter.Outcome{Done: true, Failed: true})
 		sim.report.recordEnd(er.request, "failed")
@@ -103,7 +110,7 @@
 		}
 	}
 	for _, er := range started {
-		sim.quarantiner.ReportAnswer(sim.now, eng.incarnation(), er.request.prompt())
+		sim.quarantiner.ReportAnswer(sim.now, eng.incarnation(), er.request.identity())
 	}
 	return true
 }
--- a/internal/rehearser/load.go
+++ b/internal/rehearser/load.go
@@ -59,13 +59,15 @@
 
 // Event is a temporary change of the requests or a temporary engine fault.
 type Event struct {
-	// Kind is burst, hot-workspace, hot-part, slow-engines, dead-engines, limited-engines or deadly-part.
+	// Kind is burst, hot-workspace, hot-part, slow-engines, dead-engines, limited-engines, deadly-part or
+	// deadly-request.
 	Kind            string  `yaml:"kind"`
 	StartSecond     float64 `yaml:"at"`
 	DurationSeconds float64 `yaml:"for"`
 	// Factor multiplies the request rate or the step duration. For hot-part, it is the
 	// probability that a request has the first prefix. For deadly-part, it is the probability that a
-	// request has a part that crashes engines, behind the first prefix.
+	// request has a part that crashes engines, behind the first prefix, and for deadly-request that it
+	// is one request that does, repeated, with the first prefix.
 	Factor float64 `yaml:"times"`
 	Class  string  `yaml:"class"`
 	// WorkspaceRank selects a workspace by its usual request rate; 1 is the highest.
@@ -112,7 +114,7 @@
 	}
 	for _, e := range wl.Events {
 		switch e.Kind {
-		case "burst", "hot-workspace", "hot-part", "slow-engines", "dead-engines", "limited-engines", "deadly-part":
+		case "burst", "hot-workspace", "hot-part", "slow-engines", "dead-engines", "limited-engines", "deadly-part", "deadly-request":
 		default:
 			problems = append(problems, fmt.Sprintf("event kind %q is not known", e.Kind))
 		}
@@ -126,8 +128,9 @@
 	class     *RequestClass
 	workspace int
 	prefix    string
-	// deadly is true if a part of the prompt crashes engines.
+	// deadly is true if a part of the prompt crashes engines, or, if repeated, the request as a whole.
 	deadly       bool
+	repeated     bool
 	promptTokens int
 	prefixTokens int
 	answerTokens int
@@ -155,6 +158,9 @@
 	return r.arrivedAt + time.Duration(r.class.TimeoutMillis*float64(time.Millisecond))
 }
 
+// uniquePart returns the part of the prompt that is the request's own.
+func (r *request) uniquePart() string { return fmt.Sprint("own-", r.arrivedAt, "-", r.workspace) }
+
 // sharedPrefix returns the routing key of the request.
 func (r *request) sharedPrefix() steerer.SharedPrefix {
 	return steerer.SharedPrefix{Home: r.prefix, Shared: r.prefixTokens}
@@ -252,7 +258,7 @@
 	lognormal := func(mean, sigma float64) int {
 		return max(1, int(mean*math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2)))
 	}
-	prefix, deadly := rng.IntN(c.PrefixCount), false
+	prefix, deadly, repeated := rng.IntN(c.PrefixCount), false, false
 	for _, e := range wl.Events {
 		if e.Kind == "hot-part" && e.active(second) && e.Class == c.Name && rng.Float64() < e.Factor {
 			prefix = 0
@@ -260,10 +266,13 @@
 		if e.Kind == "deadly-part" && e.active(second) && e.Class == c.Name && rng.Float64() < e.Factor {
 			prefix, deadly = 0, true
 		}
+		if e.Kind == "deadly-request" && e.active(second) && e.Class == c.Name && rng.Float64() < e.Factor {
+			prefix, deadly, repeated = 0, true, true
+		}
 	}
 	r := &request{
 		class: c, workspace: drawIndex(rng, wl.workspaceWeights(second)),
-		prefix: fmt.Sprintf("%s-%d", c.Name, prefix), prefixTokens: c.PrefixTokens, deadly: deadly,
+		prefix: fmt.Sprintf("%s-%d", c.Name, prefix), prefixTokens: c.PrefixTokens, deadly: deadly, repeated: repeated,
 		promptTokens: c.PrefixTokens + min(lognormal(c.MeanUniqueTokens, c.UniqueTokensSigma), int(8*c.MeanUniqueTokens)),
 		answerTokens: lognormal(c.MeanAnswerTokens, 0.5),
 		arrivedAt:    time.Duration(second * float64(time.Second)),
--- a/internal/rehearser/rehearser.go
+++ b/internal/rehearser/rehearser.go
@@ -6,7 +6,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"strconv"
 	"time"
 
@@ -186,7 +185,6 @@
 func (sim *simulation) submit(r *request, s *cataloger.Server, overflow bool) {
 	sim.lastID++
 	r.id, r.overflow, r.engine = sim.lastID, overflow, sim.engines[s.ID]
-	uniquePart := fmt.Sprint("own-", r.arrivedAt, "-", r.workspace)
 	sim.pending[r.id] = r
 	elapsed := sim.now - r.submittedAt
 	sim.schedule(networkDelay, func() {
@@ -198,7 +196,7 @@
 			},
 			Prompt: r.promptTokens, Answer: r.answerHint, Arrived: now.Add(-elapsed),
 			FirstBy: now.Add(r.objective() - elapsed), Deadline: epoch.Add(r.deadline()),
-			Parts: admitter.HashParts("m", []string{r.prefix, uniquePart}, []int{r.prefixTokens, r.promptTokens - r.prefixTokens}),
+			Parts: admitter.HashParts("m", []string{r.prefix, r.uniquePart()}, []int{r.prefixTokens, r.promptTokens - r.prefixTokens}),
 			Spare: overflow,
 		})
 	})
--- a/internal/soaker/caller_test.go
+++ b/internal/soaker/caller_test.go
@@ -32,8 +32,8 @@
 	incarnation int
 	// eventCount is the number of events of a complete stream.
 	eventCount int
-	// deadly is true if a part of the prompt crashes servers.
-	deadly  bool
+	// culprit is what crashes servers in the request, empty if nothing does.
+	culprit culprit
 	sentAt  time.Time
 	endedAt time.Time
 	result
@@ -117,7 +117,11 @@
 	}
 	if c.rng.IntN(2) == 0 {
 		req.kind, req.eventCount = streamRequest, 1+c.rng.IntN(12)
-		req.deadly = c.rng.IntN(10) == 0 && c.soak.sendsDeadlyPart.Load()
+		if c.rng.IntN(10) == 0 && c.soak.sendsDeadly.Load() {
+			req.culprit = []culprit{deadlyPart, deadlyStream}[c.rng.IntN(2)]
+		}
+	} else if c.soak.sendsDeadly.Load() && c.rng.IntN(20) == 0 {
+		req.culprit = deadlyBooking
 	}
 	return req
 }
@@ -128,8 +132,12 @@
 	if r.kind == streamRequest {
 		req.Path, req.TokenUsage, req.SharedPart = standin.ModelPrefix+"y", fmt.Sprintf("100,%d", 10*r.eventCount), "aa"
 	}
-	if r.deadly {
-		req.MoreParts = []string{deadlyPart}
+	switch r.culprit {
+	case deadlyPart:
+		req.MoreParts = []string{string(deadlyPart)}
+	case deadlyStream, deadlyBooking:
+		// Its repetitions have the same content.
+		req.OwnPart, req.Body = "own", deadlyBody
 	}
 	return req.Raw()
 }
--- a/internal/soaker/faults_test.go
+++ b/internal/soaker/faults_test.go
@@ -17,7 +17,7 @@
 	killRouter, killRouter, pauseRouter, pauseRouter, killAllRouters, stopRouter, stopRouter, stopRouter,
 	sendSIGHUP, disruptStoreProxies, disruptStoreProxies, disruptServerProxy, disruptServerProxy,
 	makeStoreUnavailable, compactStore, makeServersMisbehave, makeServersMisbehave,
-	rotateKey, rotateKey, rotateKey, drainServer, sendDeadlyPart, leaveServer, pauseServers, limitServers}
+	rotateKey, rotateKey, rotateKey, drainServer, sendDeadly, leaveServer, pauseServers, limitServers}
 
 // injectFaults injects random faults for a duration. Faults can overlap.
 func (s *soak) injectFaults(duration time.Duration) {
@@ -143,26 +143,32 @@
 	}
 }
 
-// deadlyPart is a prompt part that crashes the model servers, and serverDowntime is how long they are
-// down then.
+// culprit is what crashes servers.
+type culprit string
+
 const (
-	deadlyPart     = "deadly"
+	// deadlyPart is a part of many prompts, deadlyStream and deadlyBooking are single requests that callers repeat.
+	deadlyPart    culprit = "deadly"
+	deadlyStream  culprit = "deadly-stream"
+	deadlyBooking culprit = "deadly-booking"
+	// deadlyBody is the body of the single requests.
+	deadlyBody = "deadly"
+	// serverDowntime is how long a server that crashed is down.
 	serverDowntime = time.Second
 )
 
-// sendDeadlyPart makes callers send requests with the deadly part for the rest of the run.
-func sendDeadlyPart(s *soak, _ time.Duration) { s.sendsDeadlyPart.Store(true) }
+// sendDeadly makes callers send requests that crash servers for the rest of the run.
+func sendDeadly(s *soak, _ time.Duration) { s.sendsDeadly.Store(true) }
 
-// crashServer ends a model server, which starts again as another incarnation.
+// crashServer ends a server, which starts again as another incarnation.
 func (s *soak) crashServer(server *standin.Server) {
 	s.markDisturbed(serverDowntime)
 	s.serverProxies[server.ID].crash(serverDowntime)
 	s.mu.Lock()
 	_, draining := s.drainingSince[server.ID]
-	s.serverCrashes++
 	s.mu.Unlock()
 	if !draining {
-		schedule(serverDowntime, func() { s.cluster.PutRestartedServer(server.ID, "models") })
+		schedule(serverDowntime, func() { s.cluster.PutRestartedServer(server.ID, serviceOf(s.cluster, server)) })
 	}
 }
 
--- a/internal/soaker/harness_test.go
+++ b/internal/soaker/harness_test.go
@@ -46,14 +46,12 @@
 	serverProxies map[string]*faultProxy
 
 	stopped atomic.Bool
-	// sendsDeadlyPart makes a tenth of the streams have a part that crashes servers.
-	sendsDeadlyPart atomic.Bool
+	// sendsDeadly makes a tenth of the streams and a twentieth of the bookings crash servers.
+	sendsDeadly atomic.Bool
 
 	mu sync.Mutex
-	// serverCrashes counts the servers that the deadly part ended, and deadlyExecutions holds when the
-	// requests with it were sent that reached servers.
-	serverCrashes    int
-	deadlyExecutions []time.Time
+	// deadlyExecutions holds when the requests with each culprit were sent that reached servers.
+	deadlyExecutions map[culprit][]time.Time
 	violations       []string
 	requests         map[string]*request
 	lostRequests     int
@@ -173,8 +171,8 @@
 		report("the server has been draining for %v", now.Sub(at))
 	}
 	req.executions++
-	if req.deadly {
-		s.deadlyExecutions = append(s.deadlyExecutions, req.sentAt)
+	if req.culprit != "" {
+		s.deadlyExecutions[req.culprit] = append(s.deadlyExecutions[req.culprit], req.sentAt)
 	}
 	if req.executions > 1 && req.kind == bookingRequest {
 		report("it was executed %d times", req.executions)
@@ -233,7 +231,7 @@
 			s.undisturbedSince(s.addedAt[req.key]):
 			report("its key was rejected %v after it was stored", req.sentAt.Sub(s.addedAt[req.key]))
 		}
-	case req.status == http.StatusUnprocessableEntity && req.deadly:
+	case req.status == http.StatusUnprocessableEntity && req.culprit != "":
 	case req.status == http.StatusBadGateway || req.status == http.StatusGatewayTimeout:
 	case req.status != 0:
 		report("unexpected status %d", req.status)
@@ -336,7 +334,7 @@
 		firstAccepted: map[string]time.Time{},
 		drainingSince: map[string]time.Time{}, leavingServers: map[string]bool{}, pausingUntil: map[string]time.Time{},
 		toldLeaving: map[string]time.Time{}, toldPauses: map[string]*toldPause{},
-		limits: map[string]*namedLimit{}, heldBackUntil: map[string]time.Time{},
+		deadlyExecutions: map[culprit][]time.Time{}, limits: map[string]*namedLimit{}, heldBackUntil: map[string]time.Time{},
 		servedCounts:  map[string]int{},
 		requestCounts: map[string]int{},
 		apiKeys:       map[string][]string{standin.Workspace: {standin.APIKey}, "other": {"key-of-other"}},
@@ -350,7 +348,7 @@
 		s.serverProxies[server.ID] = proxy
 		cluster.SetServerAddress(server.ID, proxy.address())
 		server.EventInterval = d.eventInterval
-		server.CrashPart, server.Crash = deadlyPart, func() { s.crashServer(server) }
+		server.CrashPart, server.CrashBody, server.Crash = string(deadlyPart), deadlyBody, func() { s.crashServer(server) }
 		server.OnRun = func(id, workspace string) { s.recordExecution(server.ID, id, workspace) }
 		server.OnRequest = func(id string) { s.recordArrival(server, id) }
 		server.ChooseBehavior = func() standin.Behavior { return s.chooseBehavior(behaviorRNG) }
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -120,7 +120,7 @@
 	s.waitUntilReady("the last fault", maxRecoveryTime)
 	s.checkServed()
 	time.Sleep(time.Until(calmSince.Add(calmTime)))
-	s.checkDeadlyPart(calmSince)
+	s.checkDeadly(calmSince)
 	s.stopped.Store(true)
 	callers.Wait()
 	for _, p := range s.processes {
@@ -184,8 +184,8 @@
 	}
 }
 
-// maxDeadlyRequests is the number of requests with a part that crashes servers that may reach servers
-// once the part has ended crashesBeforeVerdict of them.
+// maxDeadlyRequests is the number of requests that may reach servers once their culprit has reached
+// crashesBeforeVerdict of them.
 const (
 	maxDeadlyRequests    = 3
 	crashesBeforeVerdict = 5
@@ -194,20 +194,22 @@
 // calmTime is how long callers go on after the effects of the last fault.
 const calmTime = 2 * time.Second
 
-// checkDeadlyPart checks how many requests with the deadly part that were sent after a time, later than the
-// effects of any fault, reached servers.
-func (s *soak) checkDeadlyPart(since time.Time) {
+// checkDeadly checks how many requests with each culprit that were sent after a time, later than the effects of
+// any fault, reached servers.
+func (s *soak) checkDeadly(since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
-	for _, sentAt := range s.deadlyExecutions {
-		if sentAt.After(since) {
-			n++
+	for culprit, executions := range s.deadlyExecutions {
+		n := 0
+		for _, sentAt := range executions {
+			if sentAt.After(since) {
+				n++
+			}
+		}
+		if len(executions)-n >= crashesBeforeVerdict && n > maxDeadlyRequests {
+			s.violations = append(s.violations, fmt.Sprintf(
+				"after the last fault, %d requests with %q reached servers, which %d had reached before", n, culprit, len(executions)-n))
 		}
-	}
-	if s.serverCrashes >= crashesBeforeVerdict && n > maxDeadlyRequests {
-		s.violations = append(s.violations, fmt.Sprintf(
-			"after the last fault, %d requests with a part that had ended %d servers reached servers", n, s.serverCrashes))
 	}
 }
 
@@ -247,5 +249,9 @@
 			counts[fmt.Sprint(req.status)]++
 		}
 	}
-	return fmt.Sprintf("%d requests: %v, %d servers ended by a prompt", len(s.requests), counts, s.serverCrashes)
+	deadly := 0
+	for _, executions := range s.deadlyExecutions {
+		deadly += len(executions)
+	}
+	return fmt.Sprintf("%d requests: %v, %d that end servers reached one", len(s.requests), counts, deadly)
 }
