Keep evidence when the next incarnation of a server answers

A server that ends and starts again under its ID answers before the routers know of its new incarnation, and an answer of a server took all evidence back that it had ended.

An answer clears its server only if the request was sent before the end, or less than 250 ms after it: no server starts again sooner.

--- a/internal/conductor/quarantine.go
+++ b/internal/conductor/quarantine.go
@@ -95,8 +95,8 @@
 			return q.Check(timer.SinceBoot(), p)
 		},
 		RequestLost: d.requestLost,
-		RequestAnswered: func(s *cataloger.Server, p quarantiner.Request) {
-			q.ReportAnswer(timer.SinceBoot(), serverKey(s), p)
+		RequestAnswered: func(s *cataloger.Server, sentAt time.Duration, r quarantiner.Request) {
+			q.ReportAnswer(timer.SinceBoot(), serverKey(s), sentAt, r)
 		},
 		IsSuspect: func(s *cataloger.Server, p quarantiner.Request) bool { return q.IsSuspect(serverKey(s), p) },
 	}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -35,6 +35,9 @@
 	// minCrashInterval is the time within which several servers that end count once. A failure that
 	// they share ends them at the same moment.
 	minCrashInterval = 300 * time.Millisecond
+	// minRestartTime is the shortest time in which a server that ended starts again. An answer to a request that was
+	// sent later may come from the next incarnation, which routers do not know yet.
+	minRestartTime = 250 * time.Millisecond
 	// suspicionTTL is how long the end of a server counts against a part that is not quarantined.
 	suspicionTTL = 10 * time.Minute
 	// contentSuspicionTTL is the same for the content of a request. Callers repeat requests soon, and all requests
@@ -317,9 +320,9 @@
 	return out[:min(len(out), maxWorkspacesPerCrash)]
 }
 
-// ReportAnswer records that a server answered a request. It clears the request and the parts of its prompt,
-// and the server if it was said to have ended.
-func (q *Quarantiner) ReportAnswer(now time.Duration, server uint64, p Request) {
+// ReportAnswer records that a server answered a request that was sent at sentAt. It clears the request and the
+// parts of its prompt, and the server if it was said to have ended before but cannot have started again.
+func (q *Quarantiner) ReportAnswer(now time.Duration, server uint64, sentAt time.Duration, p Request) {
 	q.answered.add(p.Parts)
 	d := q.decisions()
 	if len(d.suspects) == 0 {
@@ -338,7 +341,7 @@
 	for part, r := range q.records {
 		answered := p.has(part)
 		for other, c := range r.crashes {
-			if !c.cleared && (answered || other == server) {
+			if !c.cleared && (answered || other == server && sentAt < c.at+minRestartTime) {
 				c.cleared = true
 				r.announceUntil = now + announceTime
 				q.version++
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -108,7 +108,16 @@
 		s.router(f[1]).ReportCrash(s.now, ServerKey(server, 0), NewRelease("service", version), lost)
 		return ""
 	case f[0] == "answer":
-		s.router(f[1]).ReportAnswer(s.now, ServerKey(f[2], 0), s.prompt(f[3]).Request)
+		sentAt := s.now
+		if len(f) > 4 {
+			// "sent-before DURATION"
+			before, err := time.ParseDuration(f[5])
+			if err != nil {
+				t.Fatal(err)
+			}
+			sentAt -= before
+		}
+		s.router(f[1]).ReportAnswer(s.now, ServerKey(f[2], 0), sentAt, s.prompt(f[3]).Request)
 		return ""
 	case f[0] == "releases":
 		var out []Release
@@ -206,7 +215,7 @@
 					s.router(anyRouter.Draw(rt, "other router")).ReportCrash(s.now, uint64(i+1), Release{}, []LostRequest{other})
 				}
 			case 2:
-				q.ReportAnswer(s.now, uint64(i+100), prompt.Request)
+				q.ReportAnswer(s.now, uint64(i+100), s.now, prompt.Request)
 			case 3:
 				s.exchange(anyRouter.Draw(rt, "from"), anyRouter.Draw(rt, "to"))
 			case 4:
@@ -257,7 +266,7 @@
 	c := qt.New(t)
 	q := &Quarantiner{}
 	for i := range 5 * maxRecentParts {
-		q.ReportAnswer(0, 1, Request{Parts: []uint64{uint64(2 * i), uint64(2*i + 1)}})
+		q.ReportAnswer(0, 1, 0, Request{Parts: []uint64{uint64(2 * i), uint64(2*i + 1)}})
 		c.Assert(len(q.answered.newest)+len(q.answered.older) <= 2*(maxRecentParts+1), qt.IsTrue)
 	}
 	newest := uint64(10*maxRecentParts - 1)
--- a/internal/rehearser/crash.go
+++ b/internal/rehearser/crash.go
@@ -110,7 +110,7 @@
 		}
 	}
 	for _, er := range started {
-		sim.quarantiner.ReportAnswer(sim.now, eng.incarnation(), er.request.identity())
+		sim.quarantiner.ReportAnswer(sim.now, eng.incarnation(), er.request.submittedAt, er.request.identity())
 	}
 	return true
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -73,7 +73,7 @@
 	server := assignment.Server
 	x.serverID = server.ID
 	x.call.ExcludedServers = append(x.call.ExcludedServers, server.ID)
-	sentAt := timer.SinceBoot()
+	x.sentAt = timer.SinceBoot()
 	out := &sender.Request{
 		Server: server.ID, Address: server.Address,
 		Method: x.req.Method, Target: x.req.RequestURI, Host: x.req.Host,
@@ -88,7 +88,7 @@
 			id := x.Codec.DecodeResponse(0, h).RequestID
 			return id == x.call.ID || id == "" && first
 		},
-		OnResponse: func(status int, h http.Header) { x.reportResponse(server, sentAt, status, h) },
+		OnResponse: func(status int, h http.Header) { x.reportResponse(server, status, h) },
 	}
 	if x.MaySend != nil {
 		out.MaySend = func() bool { return x.MaySend(server) }
@@ -117,9 +117,9 @@
 
 // reportResponse passes on what the header of a response says of its server. Status 421 is the response
 // of another server.
-func (x *exchange) reportResponse(server *cataloger.Server, sentAt time.Duration, status int, h http.Header) {
+func (x *exchange) reportResponse(server *cataloger.Server, status int, h http.Header) {
 	if x.ServerResponded != nil && status != http.StatusMisdirectedRequest {
-		x.ServerResponded(server, x.call.ID, sentAt, x.Codec.DecodeResponse(status, h))
+		x.ServerResponded(server, x.call.ID, x.sentAt, x.Codec.DecodeResponse(status, h))
 	}
 }
 
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"papayapaddle/internal/cataloger"
 	"papayapaddle/internal/quarantiner"
@@ -19,8 +20,9 @@
 	// RequestLost is called when the connection to a server broke before the answer of a request had
 	// arrived.
 	RequestLost func(*cataloger.Server, quarantiner.LostRequest)
-	// RequestAnswered is called when a server has begun to answer a request.
-	RequestAnswered func(*cataloger.Server, quarantiner.Request)
+	// RequestAnswered is called when a server has begun to answer a request that was sent at a reading of the
+	// boot clock.
+	RequestAnswered func(s *cataloger.Server, sentAt time.Duration, r quarantiner.Request)
 	// IsSuspect reports whether a request may have crashed another server.
 	IsSuspect func(*cataloger.Server, quarantiner.Request) bool
 }
@@ -89,7 +91,7 @@
 	switch {
 	case x.Quarantine == nil:
 	case answered:
-		x.Quarantine.RequestAnswered(server, x.identity)
+		x.Quarantine.RequestAnswered(server, x.sentAt, x.identity)
 	case failure != nil && failure.connectionBroke && ctx.Err() == nil:
 		failure.mayCrashServers = x.Quarantine.IsSuspect(server, x.identity)
 		x.Quarantine.RequestLost(server, quarantiner.LostRequest{Request: x.identity, Begun: resp != nil})
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -137,6 +137,8 @@
 	serverResponded bool
 	// mayHaveRun is true if a failed attempt may have run the request.
 	mayHaveRun bool
+	// sentAt is a reading of the boot clock before the latest attempt was sent.
+	sentAt time.Duration
 	// sentAttempts counts the attempts that may have reached a server.
 	sentAttempts int
 	// serverID is the server of the latest attempt.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -159,7 +159,7 @@
 		Quarantine: &Quarantine{
 			Check:       func(p quarantiner.Request) (quarantiner.Verdict, bool, bool) { return tr.quarantiner.Check(0, p) },
 			RequestLost: tr.requestLost,
-			RequestAnswered: func(s *cataloger.Server, p quarantiner.Request) {
+			RequestAnswered: func(s *cataloger.Server, _ time.Duration, p quarantiner.Request) {
 				if len(p.Parts) > 0 {
 					tr.backend.logf("%s answered %d parts", s.ID, len(p.Parts))
 				}
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -42,6 +42,9 @@
 	// While all servers were down, a part that most prompts share was taken for the one that crashes
 	// servers, before all that they had lost was reported.
 	7023,
+	// The answers of restarted servers, whose new incarnation the routers did not know yet, cleared the evidence that a
+	// request had ended them.
+	8103,
 }
 
 const callersPerRouter = 3
