Tell refused callers the shorter of two delays

A request that a limited server refuses is offered to another one. If that refuses too, the caller was told the delay of the first, which also grows with requests that were served elsewhere in the end; it now gets the shorter one.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -232,6 +232,10 @@
 		return slot, second
 	}
 	first.ServersAsked++
+	if first.Reply.Home {
+		// The caller may return as soon as either server has room.
+		first.RetryAfter = min(first.RetryAfter, second.RetryAfter)
+	}
 	return nil, first
 }
 
@@ -285,7 +289,8 @@
 
 // askOwners asks the owner of the requested server. If the owner cannot be reached, it asks
 // the router that would own the server without that owner, and finally decides on its own,
-// except about a server with a limit: several routers that do so would exceed it together. It also returns the router that decided. An error means that the context is done.
+// except about a server with a limit: several routers that do so would exceed it together. It also
+// returns the router that decided. An error means that the context is done.
 func (a *Allocator) askOwners(
 	ctx context.Context, args *messenger.AdmitArgs, zone string,
 ) (messenger.AdmitReply, messenger.Peer, error) {
