Keep limits that servers name on the product's own path

Behind the product's own interface nothing was kept of what servers say of themselves: servers that name 4 requests a second got 3,167 to 3,198 in 4 s in the test, 29 are allowed. A server names its limit in X-Request-Limit; the router that hears it tells the server's owner (Message.ServerLimits, empty otherwise, so that control traffic does not change), which spaces its grants. The emulator names limits (limit-per-second).

Tests: demonstrator and granter TestServerGetsMoreThanItsLimit / TestServersGetMoreThanTheirLimit; the former failed for all four servers without the report.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -273,7 +273,7 @@
 func newDispatcher(n *node, in *installer.Installer, s *scheduler.Scheduler, f *forwarder.Forwarder, c *claimer.Claimer) *dispatcher.Dispatcher {
 	d := &dispatcher.Dispatcher{
 		Config: in.Config, Forwarder: f, Claimer: c, Log: n.log,
-		Slots: dispatcher.SlotAllocator{Acquire: s.Acquire, Release: s.Release},
+		Slots: dispatcher.SlotAllocator{Acquire: s.Acquire, Release: s.Release, ReportLimit: s.ReportLimit},
 	}
 	if n.options.Baseline {
 		d.Claimer = nil
--- a/internal/demonstrator/demonstrator_test.go
+++ b/internal/demonstrator/demonstrator_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -131,3 +133,69 @@
 	c.Assert(got.status, qt.Equals, http.StatusBadGateway)
 	c.Assert(strings.Contains(got.body, `"outcome":"unknown"`), qt.IsTrue, qt.Commentf(got.body))
 }
+
+// TestServersGetMoreThanTheirLimit guards against engines and services that get more requests from all routers
+// together than the limit that they name.
+func TestServersGetMoreThanTheirLimit(t *testing.T) {
+	c := qt.New(t)
+	const (
+		perSecond = 4.0
+		window    = 4 * time.Second
+		// allowed is what the users allow in a window.
+		allowed = 1.5*perSecond*4 + 5
+	)
+	d := startDeployment(c, 2)
+	limit := perSecond
+	for _, e := range d.Cluster.Engines {
+		e.SetFault(emulator.Fault{LimitPerSecond: &limit})
+	}
+	for _, s := range d.Cluster.Services {
+		s.SetFault(emulator.Fault{LimitPerSecond: &limit})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var wg sync.WaitGroup
+	for i, m := range d.Members {
+		for range 8 {
+			wg.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					path, body := "/v1/completions", `{"model":"papaya-chat","max_tokens":3,"user":"v"}`
+					if n%2 == 0 {
+						path, body = "/services/booking/visits", fmt.Sprint(i, n)
+					}
+					req, err := http.NewRequestWithContext(ctx, http.MethodPost, m.URL()+path, strings.NewReader(body))
+					c.Check(err, qt.IsNil)
+					req.Header.Set("Authorization", "Bearer "+demonstrator.APIKey("solar-quotes"))
+					// Whether a request is served or refused does not matter.
+					if resp, err := http.DefaultClient.Do(req); err == nil {
+						resp.Body.Close()
+					}
+				}
+			})
+		}
+	}
+	counts := func() map[string]int64 {
+		out := map[string]int64{}
+		for _, e := range d.Cluster.Engines {
+			out[e.Name] = e.Stats().Requests
+		}
+		for _, x := range d.Cluster.Executions.List() {
+			out[x.Service]++
+		}
+		return out
+	}
+	tick := time.NewTicker(window)
+	defer tick.Stop()
+	// The first answers name the limits.
+	<-tick.C
+	before := counts()
+	<-tick.C
+	served := int64(0)
+	for name, n := range counts() {
+		c.Check(float64(n-before[name]) <= allowed, qt.IsTrue, qt.Commentf("%s got %d requests in %v", name, n-before[name], window))
+		served += n - before[name]
+	}
+	c.Check(served > 0, qt.IsTrue)
+	cancel()
+	wg.Wait()
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -115,6 +115,9 @@
 type SlotAllocator struct {
 	Acquire func(context.Context, scheduler.Request) (scheduler.Slot, error)
 	Release func(scheduler.Slot, encoder.Release)
+	// ReportLimit is called with what each answer says about the limit of its server, in requests a second. It
+	// may be nil.
+	ReportLimit func(slot scheduler.Slot, perSecond float64, named bool)
 }
 
 // Dispatcher dispatches requests. Config, Slots and Forwarder must be set.
@@ -280,10 +283,17 @@
 	}
 }
 
-func (c *call) forwardRequest() forwarder.Request {
-	return forwarder.Request{
+func (c *call) forwardRequest(slot scheduler.Slot) forwarder.Request {
+	req := forwarder.Request{
 		ID: c.ID, Method: c.Method, Path: c.Path, Header: c.Header, Body: c.Body, Idempotent: c.isIdempotent(),
 	}
+	if c.d.Slots.ReportLimit != nil {
+		req.OnHeader = func(h http.Header) {
+			perSecond, named := forwarder.DecodeLimit(h)
+			c.d.Slots.ReportLimit(slot, perSecond, named)
+		}
+	}
+	return req
 }
 
 // releaseSlot releases the slot and reports the cost and result of the attempt to its owner.
@@ -320,7 +330,7 @@
 		c.result.StreamStarted = true
 		return c.writer.WriteEvent(e)
 	}
-	response, stats, err := c.d.Forwarder.ForwardStream(ctx, server, c.forwardRequest(), onEvent)
+	response, stats, err := c.d.Forwarder.ForwardStream(ctx, server, c.forwardRequest(slot), onEvent)
 	c.result.Stats = stats
 	c.releaseSlot(slot, err, c.PromptTokens+float64(tokens), stats)
 	if err != nil {
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -17,7 +17,7 @@
 
 // forwardService forwards a request to a plain service.
 func (c *call) forwardService(ctx context.Context, slot scheduler.Slot, server forwarder.Server) error {
-	request := c.forwardRequest()
+	request := c.forwardRequest(slot)
 	if !c.isIdempotent() {
 		// A non-idempotent request continues after the caller disconnects, so that its
 		// response can be recorded.
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -8,8 +8,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
+
+	"papayapaddle/internal/forwarder"
 )
 
 // Fault configures the faults that an emulated system injects. The zero value injects none.
@@ -27,6 +30,9 @@
 	// CrashText ends the system when a call has this text in its body: all calls in progress are
 	// aborted, and all others for crashDowntime.
 	CrashText string `json:"crash-text,omitempty"`
+	// LimitPerSecond is the limit that the system names in its responses, in requests a second. It serves all
+	// calls nevertheless.
+	LimitPerSecond *float64 `json:"limit-per-second,omitempty"`
 }
 
 // crashDowntime is how long a system that crashed aborts all calls.
@@ -99,6 +105,9 @@
 	if decision.fault.Down {
 		panic(http.ErrAbortHandler)
 	}
+	if l := decision.fault.LimitPerSecond; l != nil {
+		w.Header().Set(forwarder.LimitHeader, strconv.FormatFloat(*l, 'f', -1, 64))
+	}
 	if text := decision.fault.CrashText; text != "" {
 		body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 		if err != nil {
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -70,6 +70,8 @@
 	Accounts      []PoolAccounts    `msgpack:"b,omitempty"`
 	IdleSlots     []IdleSlots       `msgpack:"i,omitempty"`
 	Tombstones    []ServerTombstone `msgpack:"l,omitempty"`
+	// ServerLimits are limits that backend servers name, for their owner.
+	ServerLimits []ServerLimit `msgpack:"m,omitempty"`
 	// WantChanges requests the configuration changes after ConfigVersion.
 	WantChanges bool `msgpack:"w,omitempty"`
 	// Changes are JSON-encoded configuration changes.
@@ -101,6 +103,17 @@
 	Cost uint32
 }
 
+// ServerLimit is the rate that a backend server takes from all routers together, as its last answer to the
+// sender says.
+type ServerLimit struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Server   uint32
+	// Named is false if the server no longer names a limit.
+	Named bool
+	// PerSecondMilli is the rate in thousandths of a request a second.
+	PerSecondMilli uint32
+}
+
 // Release returns a slot to its owner and reports the cost of the request.
 type Release struct {
 	_msgpack struct{} `msgpack:",as_array"`
@@ -198,7 +211,7 @@
 // Validate returns an error if a value of the message is out of range.
 func (m *Message) Validate() error {
 	longest := max(len(m.Registrations), len(m.Releases), len(m.Offers), len(m.HeldSlots),
-		len(m.Reports), len(m.Accounts), len(m.IdleSlots), len(m.Tombstones), len(m.Changes))
+		len(m.Reports), len(m.Accounts), len(m.IdleSlots), len(m.Tombstones), len(m.Changes), len(m.ServerLimits))
 	if longest > MaxListItems {
 		return failer.New("check message", KindInvalid, fmt.Sprintf("a list of %d items, at most %d are allowed", longest, MaxListItems))
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -63,6 +63,25 @@
 // RequestIDHeader carries the request ID to the server, which echoes it in the response.
 const RequestIDHeader = "X-Request-Id"
 
+// LimitHeader is the response header in which a server names the requests a second that it takes from all
+// routers together.
+const LimitHeader = "X-Request-Limit"
+
+// DecodeLimit returns the limit that a response names, in requests a second. One that is no number from 0 on is
+// ignored, and the lowest of several holds.
+func DecodeLimit(h http.Header) (perSecond float64, named bool) {
+	for _, v := range h.Values(LimitHeader) {
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(n >= 0) {
+			continue
+		}
+		if !named || n < perSecond {
+			perSecond, named = n, true
+		}
+	}
+	return perSecond, named
+}
+
 // Server is a backend server.
 type Server struct {
 	Name    string
@@ -83,6 +102,8 @@
 	// BeforeSend, if not nil, is called for a non-idempotent request once its connection is
 	// open. If it returns an error, the request is not sent.
 	BeforeSend func(ctx context.Context) error
+	// OnHeader, if not nil, is called for the header of each response to the request.
+	OnHeader func(http.Header)
 }
 
 // Response is a complete response.
@@ -279,6 +300,9 @@
 	if responseID := resp.Header.Get(RequestIDHeader); responseID != "" && responseID != req.ID {
 		return failer.New("forward", KindResponseMismatch, "the server answered request "+strconv.Quote(responseID))
 	}
+	if req.OnHeader != nil {
+		req.OnHeader(resp.Header)
+	}
 	if slices.Contains(s.NotRunStatuses, resp.StatusCode) {
 		return failer.New("forward", KindRefused, "status "+resp.Status)
 	}
--- a/internal/forwarder/streamer.go
+++ b/internal/forwarder/streamer.go
@@ -129,7 +129,7 @@
 		ID:         r.request.ID,
 		Method:     http.MethodGet,
 		Path:       fmt.Sprintf("/v1/streams/%s?offset=%d", url.PathEscape(r.request.ID), r.offset),
-		Idempotent: true,
+		Idempotent: true, OnHeader: r.request.OnHeader,
 	}
 }
 
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -142,3 +142,37 @@
 	c.Assert(values[k], qt.Equals, 500.0)
 	c.Assert(g.FreeSlots(now, testPool), qt.Equals, 2)
 }
+
+// TestServerGetsMoreThanItsLimit guards against grants beyond the limit that a server names, though slots are
+// free, and against a limit that holds although no answer names it any more.
+func TestServerGetsMoreThanItsLimit(t *testing.T) {
+	c := qt.New(t)
+	const perSecond, seconds = 4, 4
+	g := newTestGranter(map[Account]float64{})
+	now := time.Unix(1000, 0)
+	g.SetServers(now, []Server{{ID: 1, Pool: testPool, Slots: 100}}, now)
+	k := Account{Pool: testPool, Workspace: 1}
+	run := func() (granted int) {
+		for range seconds * 20 {
+			now = now.Add(50 * time.Millisecond)
+			g.Register("a", k, Registration{Count: 10, Arrived: now, Cost: 10})
+			for _, grant := range g.Schedule(now) {
+				granted++
+				g.Release(now, "a", encoder.Release{Ticket: grant.Offer.Ticket, Cost: 10})
+			}
+		}
+		return granted
+	}
+	g.SetLimit(now, 1, perSecond, true)
+	c.Assert(g.FreeSlots(now, testPool), qt.Equals, 1)
+	granted := run()
+	c.Assert(granted >= perSecond*seconds-1 && granted <= perSecond*seconds+1, qt.IsTrue, qt.Commentf("%d grants", granted))
+	g.SetLimit(now, 1, 0, true)
+	granted = run()
+	c.Assert(granted <= 2, qt.IsTrue, qt.Commentf("%d grants at a server that takes nothing", granted))
+	g.SetLimit(now, 1, 0, false)
+	c.Assert(run() > 10*perSecond*seconds, qt.IsTrue)
+	g.SetLimit(now, 1, perSecond, true)
+	now = now.Add(limitTTL)
+	c.Assert(run() > 10*perSecond*seconds, qt.IsTrue)
+}
--- a/internal/granter/selection.go
+++ b/internal/granter/selection.go
@@ -60,6 +60,7 @@
 	h.charged = math.Ceil(h.chargeDue(now, g.serviceRates[pool].perSecond()))
 	h.grantCharge = h.charged
 	s.heldSlots[ticketKey{router: router, ticket: g.LastTicket}] = h
+	s.recordGrant(now)
 	g.Accounts.Charge(now, k, h.charged)
 	reg.Count--
 	g.Register(router, k, reg)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -10,6 +10,8 @@
 package scheduler
 
 import (
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -175,9 +177,11 @@
 	peers        map[string]*peer
 	heldSlots    map[SlotID]*heldSlot
 	startStats   map[Key]*startStats
-	nextReport   time.Time
-	output       Output
-	initialized  bool
+	// limitedServers are the servers whose last answer to this router named a limit.
+	limitedServers map[uint32]bool
+	nextReport     time.Time
+	output         Output
+	initialized    bool
 }
 
 func (c *Core) init() {
@@ -188,6 +192,7 @@
 	c.peers = map[string]*peer{}
 	c.heldSlots = map[SlotID]*heldSlot{}
 	c.startStats = map[Key]*startStats{}
+	c.limitedServers = map[uint32]bool{}
 	c.queues.Limits = c.Limits
 	c.queues.Weight = c.weight
 	c.granter.LastTicket = c.FirstTicket
@@ -222,6 +227,10 @@
 		c.zoneByRouter[r.Name] = r.AvailabilityZone
 	}
 	c.assignOwners(now)
+	maps.DeleteFunc(c.limitedServers, func(id uint32, _ bool) bool {
+		_, known := c.servers[id]
+		return !known
+	})
 	c.announceHeldSlots(now, oldServers)
 	c.updateRegistrations(now)
 	c.schedule(now)
@@ -444,6 +453,33 @@
 	c.schedule(now)
 }
 
+// ReportLimit tells the owner of a server what an answer says about the server's limit, in requests a second. An
+// answer without one is told only if an earlier answer to this router named one.
+func (c *Core) ReportLimit(now time.Time, id uint32, perSecond float64, named bool) {
+	c.init()
+	if !named && !c.limitedServers[id] {
+		return
+	}
+	if named {
+		c.limitedServers[id] = true
+	} else {
+		delete(c.limitedServers, id)
+	}
+	server := c.servers[id]
+	switch server.owner {
+	case "":
+	case c.Name:
+		c.granter.SetLimit(now, id, perSecond, named)
+		c.schedule(now)
+	default:
+		p := c.peer(server.owner)
+		p.outbox.ServerLimits = append(p.outbox.ServerLimits, encoder.ServerLimit{
+			Server: id, Named: named, PerSecondMilli: uint32(min(perSecond*1000, math.MaxUint32)),
+		})
+		c.requestSend(p, now)
+	}
+}
+
 // TakeOutput returns and clears the starts and refusals since the last call.
 func (c *Core) TakeOutput() Output {
 	out := c.output
--- a/internal/scheduler/messages.go
+++ b/internal/scheduler/messages.go
@@ -73,6 +73,9 @@
 	for _, r := range m.Releases {
 		c.granter.Release(now, router, r)
 	}
+	for _, l := range m.ServerLimits {
+		c.granter.SetLimit(now, l.Server, float64(l.PerSecondMilli)/1000, l.Named)
+	}
 	for _, r := range m.Registrations {
 		c.granter.Register(router, Key{Pool: r.Pool, Workspace: r.Workspace}, granter.Registration{
 			Count:   int(r.Count),
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -173,6 +173,11 @@
 	s.update(func(now time.Time, c *Core) { c.ReleaseSlot(now, slot.ID, r) })
 }
 
+// ReportLimit tells the owner of a slot's server about its limit; see Core.ReportLimit.
+func (s *Scheduler) ReportLimit(slot Slot, perSecond float64, named bool) {
+	s.update(func(now time.Time, c *Core) { c.ReportLimit(now, slot.ID.Server, perSecond, named) })
+}
+
 // SetView installs a new view of the fleet.
 func (s *Scheduler) SetView(v View) {
 	s.update(func(now time.Time, c *Core) { c.SetView(now, v) })
