Names of the quarantiner say request where no prompt is meant

The parameters and one field still spoke of prompts and parts after requests as a whole came in. No change of behavior, but that answers of requests without prompt parts no longer take the lock of the answered parts.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -322,14 +322,14 @@
 
 // ReportAnswer records that a server answered a request that was sent at sentAt. It clears the request and the
 // parts of its prompt, and the server if it was said to have ended before but cannot have started again.
-func (q *Quarantiner) ReportAnswer(now time.Duration, server uint64, sentAt time.Duration, p Request) {
-	q.answered.add(p.Parts)
+func (q *Quarantiner) ReportAnswer(now time.Duration, server uint64, sentAt time.Duration, req Request) {
+	q.answered.add(req.Parts)
 	d := q.decisions()
 	if len(d.suspects) == 0 {
 		return
 	}
 	suspected := d.ended[server]
-	for _, key := range p.keys() {
+	for _, key := range req.keys() {
 		_, ok := d.suspects[key]
 		suspected = suspected || ok
 	}
@@ -339,7 +339,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for part, r := range q.records {
-		answered := p.has(part)
+		answered := req.has(part)
 		for other, c := range r.crashes {
 			if !c.cleared && (answered || other == server && sentAt < c.at+minRestartTime) {
 				c.cleared = true
@@ -363,6 +363,9 @@
 const maxRecentParts = 4096
 
 func (r *recentParts) add(parts []uint64) {
+	if len(parts) == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.newest == nil || len(r.newest) >= maxRecentParts {
@@ -383,16 +386,16 @@
 	return ok
 }
 
-// Check reports whether a prompt must not be sent to servers, and because of which part. It permits a
-// test of a part whose quarantine time is over to one request at a time; test is then true.
-func (q *Quarantiner) Check(now time.Duration, p Request) (v Verdict, refused, test bool) {
+// Check reports whether a request must not be sent to servers, and because of which verdict. It permits a
+// test of one whose quarantine time is over to one request at a time; test is then true.
+func (q *Quarantiner) Check(now time.Duration, req Request) (v Verdict, refused, test bool) {
 	d := q.decisions()
 	if len(d.verdicts) == 0 {
 		return Verdict{}, false, false
 	}
-	for _, part := range p.keys() {
+	for _, part := range req.keys() {
 		v, ok := d.verdicts[part]
-		if !ok || v.Workspace != 0 && v.Workspace != p.Workspace {
+		if !ok || v.Workspace != 0 && v.Workspace != req.Workspace {
 			continue
 		}
 		if now < v.Until || !q.startTest(now, part) {
@@ -418,10 +421,10 @@
 	return true
 }
 
-// IsSuspect reports whether another server than the given one ended under a part of the prompt.
-func (q *Quarantiner) IsSuspect(server uint64, p Request) bool {
+// IsSuspect reports whether another server than the given one ended under the request or a part of its prompt.
+func (q *Quarantiner) IsSuspect(server uint64, req Request) bool {
 	d := q.decisions()
-	for _, key := range p.keys() {
+	for _, key := range req.keys() {
 		if slices.ContainsFunc(d.suspects[key], func(other uint64) bool { return other != server }) {
 			return true
 		}
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -58,11 +58,11 @@
 // checkQuarantine returns false if it responded to the request because it crashes servers. No other attempt
 // of the caller would end otherwise, so the response says nothing of a retry.
 func (x *exchange) checkQuarantine() bool {
-	if x.Quarantine == nil || x.testsPart {
+	if x.Quarantine == nil || x.testsVerdict {
 		return true
 	}
 	v, refused, test := x.Quarantine.Check(x.identity)
-	x.testsPart = test
+	x.testsVerdict = test
 	if !refused {
 		return true
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -128,8 +128,8 @@
 	body   []byte
 	// identity is what the request asks for.
 	identity quarantiner.Request
-	// testsPart is true if the request tests whether a part of it, or the whole, still crashes servers.
-	testsPart bool
+	// testsVerdict is true if the request tests whether a part of it, or the whole, still crashes servers.
+	testsVerdict bool
 
 	// wroteHeader is true if the response header was written to the caller.
 	wroteHeader bool
