End the limits of servers with the other faults of the soak

Both booking servers still named 4.5 requests a second, which the check of the recovery did not know of: the logs show refusals server-limit until the end, and what the limits allow was served. All faults end before that check; limits now do too, and the check stays as it is.

--- a/internal/soaker/faults_test.go
+++ b/internal/soaker/faults_test.go
@@ -174,6 +174,7 @@
 
 // clearFaults ends all faults. Blackholed connections stay blackholed.
 func (s *soak) clearFaults() {
+	s.clearLimits()
 	for _, p := range s.processes {
 		p.signal(syscall.SIGCONT)
 	}
--- a/internal/soaker/limit_test.go
+++ b/internal/soaker/limit_test.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// clearLimits ends all limits.
+func (s *soak) clearLimits() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.limits)
+	for _, server := range s.servers {
+		server.SetLimit("")
+	}
+}
+
 // checkLimit checks a request that reached a server against the limit that the server names. Requests that a
 // frozen router or a faulty connection held back do not count. The caller must hold the lock.
 func (s *soak) checkLimit(serverID string, req *request, now time.Time, report func(string, ...any)) {
