Do not suspend a server for the failures of its last incarnation

Servers that requests had crashed were back under their IDs within a second, and their owners still counted the failures of the incarnation before, all requests that it took with it, as theirs: suspended for eight seconds.

An owner starts anew with a server that is listed with another start: failures, measured rates, cached prompts and running requests were those of the one before. Requests that wait for it stay, and so does the pace of its limit.

Test: allocator TestRestartedServerIsNotSuspended (refused before).

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -279,6 +279,19 @@
 	delete(a.engines, server)
 }
 
+// RestartServer records that a server has started again. What was measured of it, its cached prompts, its running
+// requests and its failures were those of the incarnation before; requests that wait for it stay.
+func (a *Admitter) RestartServer(now time.Time, server string) {
+	e := a.lookupEngine(now, server)
+	if e == nil {
+		return
+	}
+	restarted := newEngine(e.Engine)
+	restarted.queue, restarted.pace, restarted.lastSubmittedAt = e.queue, e.pace, e.lastSubmittedAt
+	a.engines[server] = restarted
+	a.schedule(now, restarted)
+}
+
 // schedule grants the requests that can start now and refuses those that cannot start in
 // time.
 func (a *Admitter) schedule(now time.Time, e *engineState) {
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -106,13 +106,15 @@
 	Limit func(server string) []pacer.News
 	Log   func(event string, keyvals ...any)
 
-	// mu protects Admitter, waiters, removedRouters and fastTicking.
+	// mu protects Admitter, waiters, removedRouters, startedAt and fastTicking.
 	mu       sync.Mutex
 	Admitter admitter.Admitter
 	waiters  map[waiterKey]chan admitter.Decision
 	// removedRouters are the routers whose requests were removed and which have not sent
 	// request updates since.
 	removedRouters map[string]bool
+	// startedAt holds the start times of the listed servers, in Unix milliseconds, by ID.
+	startedAt map[string]int64
 	// fastTicking reports whether Run uses tickInterval. Sending to wake makes Run switch from
 	// idleTickInterval to tickInterval.
 	fastTicking bool
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -264,3 +264,35 @@
 		synctest.Wait()
 	})
 }
+
+// TestRestartedServerIsNotSuspended guards against a server that has started again and gets no requests for the
+// failures of the incarnation before.
+func TestRestartedServerIsNotSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := &network{routers: map[string]*router{}, unreachable: map[string]bool{}}
+		defer n.close()
+		r := n.addRouter("a")
+		list := func(startedUnixMilli int64) {
+			r.RetainServers(map[string]*cataloger.Server{"e": {ID: "e", Service: "s", AvailabilityZone: "z", StartedUnixMilli: startedUnixMilli}})
+		}
+		list(1)
+		var slots []*Slot
+		for range 5 {
+			slot, refusal := r.Acquire(t.Context(), newSlotRequest())
+			c.Assert(refusal, qt.IsNil)
+			slots = append(slots, slot)
+		}
+		for _, slot := range slots {
+			slot.Release(true, false)
+		}
+		list(1)
+		_, refusal := r.Acquire(t.Context(), newSlotRequest())
+		c.Assert(refusal, qt.IsNotNil)
+		c.Assert(refusal.Reason, qt.Equals, admitter.ReasonSuspended)
+		list(2)
+		slot, refusal := r.Acquire(t.Context(), newSlotRequest())
+		c.Assert(refusal, qt.IsNil)
+		slot.Release(false, true)
+	})
+}
--- a/internal/allocator/updates.go
+++ b/internal/allocator/updates.go
@@ -61,7 +61,8 @@
 	})
 }
 
-// RetainServers removes all servers that are not in the given map.
+// RetainServers removes all servers that are not in the given map, and starts anew with those that have
+// started again.
 func (a *Allocator) RetainServers(servers map[string]*cataloger.Server) {
 	a.loadsMu.Lock()
 	kept := make(map[string]steerer.Load, len(a.loads))
@@ -79,6 +80,14 @@
 		for _, id := range removed {
 			ad.RemoveServer(now, id)
 		}
+		startedAt := make(map[string]int64, len(servers))
+		for id, s := range servers {
+			startedAt[id] = s.StartedUnixMilli
+			if before, known := a.startedAt[id]; known && before != s.StartedUnixMilli {
+				ad.RestartServer(now, id)
+			}
+		}
+		a.startedAt = startedAt
 	})
 }
 
