Keep a request quarantined while another culprit explains its crashes

A request under which three servers have ended is refused until one of its repetitions is answered, whatever else explains that: the next one may end another server.

Test: quarantiner testdata/one-request-crashes-servers, last script (only the part was quarantined before).

--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -93,6 +93,7 @@
 		}
 		worst := worstSuspicions(sufficient)
 		if len(worst) == 0 {
+			addRepeatedRequests(out, records, running, unsettled)
 			return out
 		}
 		for _, c := range worst {
@@ -104,6 +105,19 @@
 	}
 }
 
+// addRepeatedRequests adds the requests that minCrashes servers have ended under, whatever else explains that: no
+// repetition was answered, and the next one may end another server.
+func addRepeatedRequests(out map[uint64]Verdict, records map[uint64]*record, running map[uint64][]uint64, unsettled map[uint64]bool) {
+	for key, r := range records {
+		if _, done := out[key]; done || r.depth != contentDepth {
+			continue
+		}
+		if c := r.suspicionOf(key, unsettled, running); c.crashes >= minCrashes {
+			out[key] = c.verdict()
+		}
+	}
+}
+
 // worstSuspicions returns the suspicions that lead to the next verdicts: the worst one. If that is a request
 // that was on the same servers as another one when they ended, either may have crashed them. Then neither is
 // quarantined after minBegunCrashes, nor a part that they share, and both are after minCrashes.
