--- a/internal/conductor/crash_detector_test.go
+++ b/internal/conductor/crash_detector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -126,3 +127,15 @@
 		})
 	}
 }
+
+// Guards against a table of silent servers that grows without bound.
+func TestMadeUpSilentServersAreBounded(t *testing.T) {
+	var d crashDetector
+	for i := range 2 * maxSilentServers {
+		d.keepSilent(&cataloger.Server{ID: fmt.Sprint("s", i)}, make([]quarantiner.LostRequest, 2*maxLostRequests))
+	}
+	qt.Assert(t, d.silent, qt.HasLen, maxSilentServers)
+	for _, l := range d.silent {
+		qt.Assert(t, l.lost, qt.HasLen, maxLostRequests)
+	}
+}
--- a/internal/conductor/quarantine_test.go
+++ b/internal/conductor/quarantine_test.go
@@ -122,6 +122,20 @@
 // Guards against one request that crashes one server after the other while its caller repeats it, through
 // one router after the other, and against a refusal of other requests that share parts of its prompt or its path.
 func TestOneRequestCrashesOneServerAfterAnother(t *testing.T) {
+	repeatCrashingRequest(t, (*fleet).awaitRestart)
+}
+
+// Guards against the same while servers are back under their IDs before the routers know of it: two ends of a
+// server then look like one.
+func TestOneRequestCrashesServersThatRestartAtOnce(t *testing.T) {
+	repeatCrashingRequest(t, func(_ *fleet, restarts map[string]int64) map[string]int64 {
+		<-time.After(crashInterval)
+		return restarts
+	})
+}
+
+// repeatCrashingRequest repeats a request that crashes servers, and calls wait after each that reached one.
+func repeatCrashingRequest(t *testing.T, wait func(f *fleet, restarts map[string]int64) map[string]int64) {
 	for _, service := range []struct{ name, path, tokens string }{
 		{"model", standin.ModelPrefix + "x", "100,30"}, {"plain", standin.PlainPrefix + "x", ""},
 	} {
@@ -149,7 +163,7 @@
 				id := fmt.Sprintf("bad-%d", i)
 				call(routers[i%len(routers)], id, "bad")
 				if runs.count(id) > 0 {
-					restarts = f.awaitRestart(restarts)
+					restarts = wait(f, restarts)
 				}
 				resp := call(routers[(i+1)%len(routers)], fmt.Sprintf("sound-%d", i), fmt.Sprintf("good-%d", i))
 				c.Check(resp.Status, qt.Not(qt.Equals), http.StatusUnprocessableEntity)
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -278,3 +278,27 @@
 		c.Assert(len(q.peers) <= maxPeers, qt.IsTrue)
 	}
 }
+
+// Guards against requests of many contents that fill the records and displace the evidence against one that
+// crashes servers.
+func TestMadeUpContentsDoNotDisplaceEvidence(t *testing.T) {
+	c := qt.New(t)
+	var q Quarantiner
+	lost := func(workspace, content uint64) []LostRequest {
+		return []LostRequest{{Request: Request{Workspace: workspace, Content: content}, Begun: true}}
+	}
+	now := time.Minute
+	for i := range uint64(2) {
+		q.ReportCrash(now, i+1, Release{}, lost(1, 1))
+		now += time.Second
+	}
+	for i := range uint64(600) {
+		q.ReportCrash(now, 100+i, Release{}, lost(2+i%10, 1000+i))
+		now += 10 * time.Millisecond
+	}
+	c.Assert(len(q.records) <= maxRecords, qt.IsTrue, qt.Commentf("%d records", len(q.records)))
+	_, refused, _ := q.Check(now, Request{Workspace: 1, Content: 1})
+	c.Assert(refused, qt.IsTrue)
+	_, refused, _ = q.Check(now, Request{Workspace: 2, Content: 1})
+	c.Assert(refused, qt.IsFalse)
+}
