--- /dev/null
+++ b/internal/watcher/restoration_test.go
@@ -0,0 +1,139 @@
+package watcher
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/internal/cataloger"
+)
+
+// exchange lets a router process the answer of a peer, as package conductor does.
+func (h *harness) exchange(peer *harness) {
+	changed, age, confirmed := peer.w.ServersAge()
+	if confirmed && h.w.ConfirmServers(changed, h.now-age) {
+		known, _, _ := h.w.ServersAge()
+		rows, full := peer.w.ServerRows(known)
+		h.w.ApplyPeerRows(rows, full, changed, h.now-age, true)
+	}
+}
+
+// Guards against routers that take a version of the store after it was restored from a copy for the same version before, and
+// confirm each other's entries although only one of them has read the restored ones.
+func TestPeersConfirmEntriesOfLostHistory(t *testing.T) {
+	c := qt.New(t)
+	a, b := newHarness(), newHarness()
+	read := func(position Position, whole bool, entries string) {
+		rows := parseRows(t, entries)
+		for i := range rows {
+			if rows[i].Version == 0 {
+				rows[i].Version = position.Version
+			}
+		}
+		a.w.applyServers(batch{rows: rows, fullTable: whole, version: position.Version, requestedAt: a.now})
+		a.w.serversState.confirm(a.now)
+	}
+	read(Position{Era: 1, Version: 46}, true, "x address=x:1 at=40\ny address=y:1 at=46")
+	b.exchange(a)
+	c.Assert(b.describeServers(), qt.Equals, "x at x:1 usable\ny at y:1 usable\n")
+	read(Position{Era: 2, Version: 43}, true, "x address=x:1 at=40\ny address=y:1 at=43")
+	b.exchange(a)
+	read(Position{Era: 2, Version: 44}, false, "x address=x:1 leaving")
+	b.exchange(a)
+	c.Check(b.describeServers(), qt.Equals, "x at x:1 not usable\ny at y:1 usable\n")
+	read(Position{Era: 2, Version: 46}, false, "y address=y:1 leaving")
+	b.exchange(a)
+	c.Check(b.describeServers(), qt.Equals, "x at x:1 not usable\ny at y:1 not usable\n")
+}
+
+// fakeStore is a store with the table of the configuration only.
+type fakeStore struct {
+	mu       sync.Mutex
+	position Position
+	config   uint64
+}
+
+func (s *fakeStore) set(position Position, config uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.position, s.config = position, config
+}
+
+func (s *fakeStore) read() ([]Row, Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row := Row{Key: "config", Value: strconv.AppendUint(nil, s.config, 10), Version: 10 * s.config}
+	return []Row{row}, s.position, nil
+}
+
+func (s *fakeStore) table() Table {
+	return Table{
+		Read:          func(context.Context) ([]Row, Position, error) { return s.read() },
+		Changes:       func(context.Context, uint64) ([]Row, Position, error) { return s.read() },
+		IsHistoryGone: func(error) bool { return false },
+	}
+}
+
+// Guards against a configuration that counts as the newest because a restored store holds it, before the operators
+// have written again what the copy lacks: a key that was revoked in between would be accepted.
+func TestRestoredStoreConfirmsOlderConfig(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// inForce is the version that the router knows before it reads the restored store, which holds copied.
+		inForce, copied uint64
+		// known says that the router has followed the store before.
+		known bool
+	}{
+		{"router starts", 0, 1, false},
+		{"router knows the lost change", 2, 1, true},
+		{"router missed the lost change", 1, 1, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				start := time.Now()
+				now := func() time.Duration { return time.Hour + time.Since(start) }
+				s := &fakeStore{}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				w := New(&Watcher{
+					ConfigTable: s.table(), ServerTable: s.table(), ConfigKey: "config", Now: now, Log: func(string, ...any) {},
+					DecodeServer:   func(Row) (*cataloger.Server, error) { return &cataloger.Server{ID: "config"}, nil },
+					DecodeCatalog:  newHarness().w.DecodeCatalog,
+					ReadStoreAfter: func() time.Duration { return 300 * time.Millisecond },
+				})
+				if tt.known {
+					s.set(Position{Era: 1, Version: 50}, tt.inForce)
+				} else {
+					s.set(Position{Era: 2, Version: 40}, tt.copied)
+				}
+				followed := make(chan struct{})
+				go func() {
+					w.Run(ctx)
+					close(followed)
+				}()
+				if tt.known {
+					time.Sleep(10 * time.Second)
+				}
+				s.set(Position{Era: 2, Version: 40}, tt.copied)
+				restored := now()
+				time.Sleep(time.Second)
+				if age, ok := w.ConfigAge(); ok {
+					c.Check(now()-age < restored, qt.IsTrue, qt.Commentf("version %d was confirmed by the copy", w.ConfigVersion()))
+				}
+				s.set(Position{Era: 2, Version: 41}, 3)
+				time.Sleep(5 * time.Second)
+				age, ok := w.ConfigAge()
+				c.Check(ok && age < time.Second, qt.IsTrue, qt.Commentf("confirmed %v, %v ago", ok, age))
+				c.Check(w.ConfigVersion(), qt.Equals, uint64(3))
+				cancel()
+				<-followed
+			})
+		})
+	}
+}
