Read a table whole when the store is of another era

Callers with a revoked key were served after the store had come back from a copy: a router read on at its position, a number that the store had given out again, and got no 410. A position outlived the history that it points into.

Each answer's era is compared with that of the position that was read from; if they differ, the answer proves nothing and the table is read whole. An answer from before the restore that comes late is ignored: a request that is sent after an era was seen cannot be answered in an older one.

--- a/internal/watcher/restoration_test.go
+++ b/internal/watcher/restoration_test.go
@@ -35,7 +35,7 @@
 				rows[i].Version = position.Version
 			}
 		}
-		a.w.applyServers(batch{rows: rows, fullTable: whole, version: position.Version, requestedAt: a.now})
+		a.w.applyServers(batch{rows: rows, fullTable: whole, position: position, requestedAt: a.now})
 		a.w.serversState.confirm(a.now)
 	}
 	read(Position{Era: 1, Version: 46}, true, "x address=x:1 at=40\ny address=y:1 at=46")
--- a/internal/watcher/servers.go
+++ b/internal/watcher/servers.go
@@ -51,7 +51,7 @@
 	w.expireLapsed(now)
 	w.serversState.advanceTo(newestVersion(b.rows))
 	if b.fullTable {
-		w.serversState.advanceTo(b.version)
+		w.serversState.advanceTo(b.position.Version)
 	}
 	w.publishServers()
 }
@@ -200,7 +200,7 @@
 	if w.rows == nil || b.fullTable {
 		w.rows = make(map[string]Row, len(b.rows))
 		// Rows that were deleted before the table was read are not known.
-		w.historySince = b.version
+		w.historySince = b.position.Version
 	}
 	deleted := 0
 	for _, r := range b.rows {
@@ -249,7 +249,7 @@
 		// This router has already read the change from the store.
 		return
 	}
-	b := batch{rows: rows, fullTable: full, version: changed, requestedAt: confirmedAt}
+	b := batch{rows: rows, fullTable: full, position: Position{Version: changed}, requestedAt: confirmedAt}
 	if age, ok := w.confirmationAge(&w.serversState); ok {
 		b.confirmationAge = max(0, age)
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -101,6 +101,7 @@
 	serverSet    atomic.Pointer[ServerSet]
 	configState  tableState
 	serversState tableState
+	eras         eraState
 
 	// installMu serializes installations. serversMu guards the fields below it, except
 	// contactSince.
@@ -133,6 +134,10 @@
 	// wake, if set, interrupts the wait before the next read.
 	wantedVersion atomic.Uint64
 	wake          chan struct{}
+	// loaded says that the table was read whole, and next is the position from which its changes are read.
+	// Only the goroutine that follows the table uses them.
+	loaded bool
+	next   Position
 }
 
 // confirm records that the rows were the newest at a time.
@@ -297,54 +302,53 @@
 // batch holds the rows of one answer of the store or of a peer.
 type batch struct {
 	rows []Row
-	// fullTable says that the rows are the entire table at the store version.
+	// fullTable says that the rows are the entire table at the position.
 	fullTable bool
-	version   uint64
+	position  Position
 	// requestedAt is when the request was sent, on the boot clock. confirmationAge is the
 	// time since the last confirmation then.
 	requestedAt     time.Duration
 	confirmationAge time.Duration
 }
 
+// answerUse is what became of an answer of the store.
+type answerUse int
+
+const (
+	// answerConfirms: this router's copy was the newest when the request was sent.
+	answerConfirms answerUse = iota
+	// answerUnreadable: a row could not be decoded.
+	answerUnreadable
+	// answerOutdated: the answer is from before a restore of the store.
+	answerOutdated
+	// answerOfOtherEra: the position that was read from is of another era, so the table must be read whole.
+	answerOfOtherEra
+)
+
 // followTable reads a table, applies its changes, and repeats when the copy is stale.
 func (w *Watcher) followTable(
 	ctx context.Context, name string, t Table, state *tableState, apply func(batch) bool,
 ) {
-	position, loaded := Position{}, false
 	backoff := minBackoff
 	storeLost := false
 	w.waitForPeers(ctx, state)
 	for ctx.Err() == nil {
-		b := batch{fullTable: !loaded, requestedAt: w.Now()}
-		if age, ok := w.confirmationAge(state); ok {
-			b.confirmationAge = max(0, age)
-		}
-		var next Position
-		var err error
-		if loaded {
-			b.rows, next, err = t.Changes(ctx, position.Version)
-		} else {
-			b.rows, next, err = t.Read(ctx)
-		}
-		b.version = next.Version
+		b, err := w.readTable(ctx, t, state)
 		if err == nil {
-			if apply(b) {
-				state.confirm(b.requestedAt)
-			} else {
-				// The row could not be decoded; a corrected one may follow soon.
+			backoff = minBackoff
+			switch w.handleAnswer(name, state, b, apply) {
+			case answerOfOtherEra:
+				continue
+			case answerOutdated:
+				pauser.Sleep(ctx, minBackoff)
+				continue
+			case answerUnreadable:
+				// A corrected row may follow soon.
 				pauser.Sleep(ctx, maxBackoff)
 			}
-			state.advanceTo(newestVersion(b.rows))
-			if wanted := state.wantedVersion.Load(); wanted <= next.Version {
-				state.advanceTo(wanted)
-			}
-			if !loaded || next.Era != position.Era {
-				w.Log("store-read", "table", name, "whole", !loaded, "position", next, "was", position, "rows", len(b.rows))
-			}
-			position, loaded, backoff = next, true, minBackoff
 			if storeLost {
 				storeLost = false
-				w.Log("store-regained", "table", name, "away-ms", b.confirmationAge.Milliseconds(), "position", position)
+				w.Log("store-regained", "table", name, "away-ms", b.confirmationAge.Milliseconds(), "position", b.position)
 			}
 			w.waitUntilStale(ctx, state)
 			continue
@@ -353,8 +357,8 @@
 			return
 		}
 		if t.IsHistoryGone(err) {
-			w.Log("store-history-gone", "table", name, "position", position)
-			loaded = false
+			w.Log("store-history-gone", "table", name, "position", state.next)
+			state.loaded = false
 			continue
 		}
 		if !storeLost {
@@ -371,6 +375,55 @@
 	}
 }
 
+// readTable reads the whole table, or its changes once it was read.
+func (w *Watcher) readTable(ctx context.Context, t Table, state *tableState) (b batch, err error) {
+	b = w.newBatch(state)
+	if b.fullTable {
+		b.rows, b.position, err = t.Read(ctx)
+	} else {
+		b.rows, b.position, err = t.Changes(ctx, state.next.Version)
+	}
+	return b, err
+}
+
+// newBatch returns a batch for the answer to a request that is sent now.
+func (w *Watcher) newBatch(state *tableState) batch {
+	b := batch{fullTable: !state.loaded, requestedAt: w.Now()}
+	if age, ok := w.confirmationAge(state); ok {
+		b.confirmationAge = max(0, age)
+	}
+	return b
+}
+
+// handleAnswer applies an answer of the store.
+func (w *Watcher) handleAnswer(name string, state *tableState, b batch, apply func(batch) bool) answerUse {
+	if !w.acceptEra(b.position.Era, b.requestedAt) {
+		w.Log("store-answer-outdated", "table", name, "position", b.position)
+		return answerOutdated
+	}
+	if !b.fullTable && b.position.Era != state.next.Era {
+		// Changes after a version of another era leave out whatever was written under the versions up to it.
+		w.Log("store-restored", "table", name, "position", b.position, "was", state.next)
+		state.loaded = false
+		return answerOfOtherEra
+	}
+	use := answerConfirms
+	if apply(b) {
+		state.confirm(b.requestedAt)
+	} else {
+		use = answerUnreadable
+	}
+	state.advanceTo(newestVersion(b.rows))
+	if wanted := state.wantedVersion.Load(); wanted <= b.position.Version {
+		state.advanceTo(wanted)
+	}
+	if b.fullTable {
+		w.Log("store-read", "table", name, "position", b.position, "was", state.next, "rows", len(b.rows))
+	}
+	state.next, state.loaded = b.position, true
+	return use
+}
+
 const (
 	// minStaleCheckWait and maxStaleCheckWait bound the wait between two checks of whether
 	// the copy is stale.
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -227,7 +227,7 @@
 				}
 				history = append(history, row)
 			case 2:
-				b := batch{requestedAt: self.now, version: uint64(len(history))}
+				b := batch{requestedAt: self.now, position: Position{Version: uint64(len(history))}}
 				if b.fullTable = readVersions[r] == 0 || rapid.IntRange(0, 4).Draw(t, "full table") == 0; b.fullTable {
 					b.rows = liveRows(history)
 				} else {
