Compare positions of the store between routers, not bare versions

After a restore callers were sent to servers that had said they were leaving, by all routers but the one that had read so: the position that routers tell each other only rose, as a number, so a router announced the old, larger one and its peers confirmed their own entries by it.

What a router knows of the servers' entries is now a position of an era and a version, in memory and in messages; one of another era is fetched whole. A position may be a peer's word only until the store answers a later request. Contact with the store counts within an era. Routers of the release before name no era: they confirm nothing here and get no confirmation.

--- a/internal/conductor/gossip.go
+++ b/internal/conductor/gossip.go
@@ -89,17 +89,21 @@
 		return
 	}
 	n.applyGossip(reply)
+	if !reply.KnowsEras {
+		// A router of an earlier release may have read on in a restored store.
+		return
+	}
 	if reply.ProvenAgo >= 0 {
 		n.watcher.ConfirmConfig(reply.Version, sentAt-reply.ProvenAgo)
 	}
-	if reply.ServersAgo >= 0 && n.watcher.ConfirmServers(reply.ServersChanged, sentAt-reply.ServersAgo) {
-		n.fetchServers(ctx, peer, reply.ServersChanged)
+	if changed := reply.ServersPosition(); reply.ServersAgo >= 0 && n.watcher.ConfirmServers(changed, sentAt-reply.ServersAgo) {
+		n.fetchServers(ctx, peer, changed)
 	}
 }
 
 // fetchServers fetches server entries that this router lacks from a peer. A change then costs
 // the store a few calls instead of one for each router.
-func (n *node) fetchServers(ctx context.Context, peer messenger.Peer, changed uint64) {
+func (n *node) fetchServers(ctx context.Context, peer messenger.Peer, changed watcher.Position) {
 	if !n.fetchingServers.CompareAndSwap(false, true) {
 		return
 	}
@@ -109,26 +113,29 @@
 	reply, err := n.messenger.FetchServers(ctx, peer.Address, known)
 	if err != nil {
 		n.log("servers-fetch-failed", "peer", peer.Name, "changed", changed, "err", err)
-		n.watcher.RequireServersVersion(changed)
+		n.watcher.RequireServers(changed)
 		return
 	}
 	rows := make([]watcher.Row, len(reply.Rows))
 	for i, r := range reply.Rows {
 		rows[i] = watcher.Row{Key: r.ID, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
 	}
-	n.watcher.ApplyPeerRows(rows, reply.Whole, reply.Changed, sentAt-reply.Ago, reply.Ago >= 0)
+	changed = watcher.Position{Era: reply.Era, Version: reply.Changed}
+	n.watcher.ApplyPeerRows(rows, reply.Whole, changed, sentAt-reply.Ago, reply.Ago >= 0)
 }
 
-// handleFetchServers returns the server entries that changed after a version.
-func (n *node) handleFetchServers(after uint64) messenger.FetchServersReply {
-	// The version must be read before the rows: rows that arrive in between are harmless,
+// handleFetchServers returns the server entries that changed after a position.
+func (n *node) handleFetchServers(after watcher.Position) messenger.FetchServersReply {
+	// The position must be read before the rows: rows that arrive in between are harmless,
 	// whereas missing rows would be taken as unchanged.
 	changed, ago, confirmed := n.watcher.ServersAge()
 	if !confirmed {
 		ago = -1
 	}
 	rows, whole := n.watcher.ServerRows(after)
-	out := messenger.FetchServersReply{Whole: whole, Changed: changed, Ago: ago, Rows: make([]messenger.ServerRow, len(rows))}
+	out := messenger.FetchServersReply{
+		Whole: whole, Changed: changed.Version, Era: changed.Era, Ago: ago, Rows: make([]messenger.ServerRow, len(rows)),
+	}
 	for i, r := range rows {
 		out.Rows[i] = messenger.ServerRow{ID: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
 	}
@@ -143,14 +150,19 @@
 	age, ok := n.watcher.ConfigAge()
 	changed, serversAge, _ := n.watcher.ServersAge()
 	fresher := in.ProvenAgo >= 0 && (!ok || in.ProvenAgo+minAgeAdvantage < age)
-	newer := in.ServersChanged > changed || in.ServersAgo >= 0 && in.ServersAgo+minAgeAdvantage < serversAge
-	if (fresher || newer) && n.confirming.CompareAndSwap(false, true) {
+	newer := in.ServersPosition().Compare(changed) > 0 || in.ServersAgo >= 0 && in.ServersAgo+minAgeAdvantage < serversAge
+	if in.KnowsEras && (fresher || newer) && n.confirming.CompareAndSwap(false, true) {
 		go func() {
 			defer n.confirming.Store(false)
 			n.gossipWith(context.Background(), in.From)
 		}()
 	}
-	return n.buildGossip(in.From.Name)
+	out := n.buildGossip(in.From.Name)
+	if !in.KnowsEras {
+		// It would take a version of another era for its own.
+		out.ServersAgo = -1
+	}
+	return out
 }
 
 // maxStoreBackoff returns the longest backoff after failed store calls.
@@ -193,7 +205,7 @@
 		serversAge = -1
 	}
 	out := messenger.Gossip{
-		ServersChanged: changed, ServersAgo: serversAge,
+		ServersChanged: changed.Version, StoreEra: changed.Era, ServersAgo: serversAge, KnowsEras: true,
 		Leaving: n.isShuttingDown(), Crowded: n.readiness.reportsOverload(), ProvenAgo: -1, Contact: n.watcher.StoreContact(),
 	}
 	out.CrashDigest, out.CrashEvidence = n.quarantiner.ForPeer(timer.SinceBoot(), peer)
@@ -228,7 +240,9 @@
 	n.quarantiner.ApplyGossip(timer.SinceBoot(), in.From.Name, in.CrashDigest, in.CrashEvidence)
 	n.applyLimitNews(in.From.Name, in.Limits.News)
 	n.allocator.ApplyGossip(in.From.Name, in.Loads, in.Grants)
-	n.watcher.ApplyPeerContact(in.From.Name, in.Contact)
+	if in.KnowsEras {
+		n.watcher.ApplyPeerContact(in.From.Name, in.StoreEra, in.Contact)
+	}
 	if in.Version > n.watcher.ConfigVersion() {
 		go n.fetchConfig(in.From, in.Version)
 	}
@@ -242,7 +256,7 @@
 		ago = -1
 	}
 	raw, version := n.watcher.RawConfig(after)
-	return messenger.FetchConfigReply{Config: raw, Version: version, ProvenAgo: ago}
+	return messenger.FetchConfigReply{Config: raw, Version: version, ProvenAgo: ago, KnowsEras: true}
 }
 
 // fetchConfig fetches a newer configuration from a peer and installs it.
@@ -262,7 +276,7 @@
 		n.log("config-unreadable", "peer", from.Name, "version", version, "err", err)
 		return
 	}
-	if reply.ProvenAgo >= 0 {
+	if reply.KnowsEras && reply.ProvenAgo >= 0 {
 		n.watcher.ConfirmConfig(min(c.Version, reply.Version), sentAt-reply.ProvenAgo)
 	}
 }
--- a/internal/conductor/restoration_test.go
+++ b/internal/conductor/restoration_test.go
@@ -1,11 +1,14 @@
 package conductor
 
 import (
+	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"papayapaddle/internal/messenger"
 	"papayapaddle/platform/standin"
 )
 
@@ -43,3 +46,46 @@
 	})
 	eventually(c, "the draining server is known", func() bool { return len(w.ServerSet().ByService["booking"]) == 1 })
 }
+
+// Guards against confirmations of routers of the release before, which do not compare eras and may have read on in a
+// restored store, and against confirmations for them by a number that they hold of another era.
+func TestRouterOfPreviousReleaseConfirmsNothing(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, "a")
+	n := f.routers["a"].node
+	f.cluster.Store.SetDown(true)
+	for _, knowsEras := range []bool{false, true} {
+		peer := messenger.Peer{Name: "peer", Address: peerAddress(c, func(*messenger.Gossip) messenger.Gossip {
+			changed, _, _ := n.watcher.ServersAge()
+			return messenger.Gossip{
+				From: messenger.Peer{Name: "peer"}, Version: n.watcher.ConfigVersion(), ServersChanged: changed.Version,
+				StoreEra: changed.Era, KnowsEras: knowsEras,
+			}
+		})}
+		eventually(c, "the last confirmation is older", func() bool {
+			config, _ := n.watcher.ConfigAge()
+			_, servers, _ := n.watcher.ServersAge()
+			return min(config, servers) > time.Second
+		})
+		config, _ := n.watcher.ConfigAge()
+		_, servers, _ := n.watcher.ServersAge()
+		n.gossipWith(t.Context(), peer)
+		newConfig, _ := n.watcher.ConfigAge()
+		_, newServers, _ := n.watcher.ServersAge()
+		c.Check(newConfig < config, qt.Equals, knowsEras)
+		c.Check(newServers < servers, qt.Equals, knowsEras)
+		out := n.handleGossip(&messenger.Gossip{From: messenger.Peer{Name: "peer"}, ServersAgo: -1, ProvenAgo: -1, KnowsEras: knowsEras})
+		c.Check(out.ServersAgo >= 0, qt.Equals, knowsEras)
+	}
+}
+
+// peerAddress starts a router that only answers gossip and returns its address.
+func peerAddress(c *qt.C, answer func(*messenger.Gossip) messenger.Gossip) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	m := &messenger.Messenger{Handlers: messenger.Handlers{Gossip: answer}}
+	// Serve ends with the listener.
+	go func() { _ = m.Serve(ln) }()
+	c.Cleanup(func() { ln.Close() })
+	return ln.Addr().String()
+}
--- a/internal/messenger/malformed_test.go
+++ b/internal/messenger/malformed_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"papayapaddle/internal/admitter"
+	"papayapaddle/internal/watcher"
 )
 
 // encodeCalls encodes calls, given as pairs of method and arguments, as a peer sends them.
@@ -34,7 +35,7 @@
 		Admit:          func(*AdmitArgs) AdmitReply { admitCalls++; return AdmitReply{} },
 		UpdateRequests: func(*RequestUpdates) bool { return false },
 		FetchConfig:    func(uint64) FetchConfigReply { return FetchConfigReply{} },
-		FetchServers:   func(uint64) FetchServersReply { return FetchServersReply{} },
+		FetchServers:   func(watcher.Position) FetchServersReply { return FetchServersReply{} },
 	}
 	valid := encodeCalls(
 		"News", Gossip{
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -7,6 +7,7 @@
 	"papayapaddle/internal/pacer"
 	"papayapaddle/internal/quarantiner"
 	"papayapaddle/internal/steerer"
+	"papayapaddle/internal/watcher"
 )
 
 // Peer identifies one process of a router.
@@ -34,12 +35,15 @@
 	Version   uint64
 	ProvenAgo time.Duration
 	// ServersChanged is the store version up to which the router knows all changes of
-	// the backend servers' entries. ServersAgo is how long ago it was confirmed that
-	// there was no later change; it is negative if that was never confirmed.
+	// the backend servers' entries, and StoreEra the era that it is of. ServersAgo is how long ago it was
+	// confirmed that there was no later change; it is negative if that was never confirmed.
 	ServersChanged uint64
+	StoreEra       uint64
 	ServersAgo     time.Duration
 	// Contact is how long the router has had such confirmations without an interruption.
 	Contact time.Duration
+	// KnowsEras is false in messages of releases that do not compare the store's eras.
+	KnowsEras bool
 	// Loads are the loads of the backend servers that the sender owns.
 	Loads []admitter.Load
 	Grants
@@ -70,6 +74,11 @@
 	Fleet RouterCount
 }
 
+// ServersPosition returns the position up to which the sender knows the backend servers' entries.
+func (g *Gossip) ServersPosition() watcher.Position {
+	return watcher.Position{Era: g.StoreEra, Version: g.ServersChanged}
+}
+
 // Grants are the tokens that a router granted to workspaces and the receiver has not
 // yet acknowledged.
 type Grants struct {
@@ -154,20 +163,25 @@
 type FetchConfigReply struct {
 	Config  []byte
 	Version uint64
-	// ProvenAgo has the same meaning as in Gossip.
+	// ProvenAgo and KnowsEras have the same meaning as in Gossip.
 	ProvenAgo time.Duration
+	KnowsEras bool
 }
 
 // FetchServersArgs requests the backend servers' entries that changed after a store
-// version.
-type FetchServersArgs struct{ After uint64 }
+// version of an era.
+type FetchServersArgs struct {
+	After uint64
+	Era   uint64
+}
 
 // FetchServersReply holds the changed entries, or all entries if Whole is set.
 type FetchServersReply struct {
 	Rows  []ServerRow
 	Whole bool
-	// Changed and Ago have the same meaning as ServersChanged and ServersAgo in Gossip.
+	// Changed, Era and Ago have the same meaning as ServersChanged, StoreEra and ServersAgo in Gossip.
 	Changed uint64
+	Era     uint64
 	Ago     time.Duration
 }
 
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -14,6 +14,7 @@
 
 	"papayapaddle/internal/failer"
 	"papayapaddle/internal/linker"
+	"papayapaddle/internal/watcher"
 )
 
 // Kind classifies the errors of this package.
@@ -52,8 +53,8 @@
 	UpdateRequests func(*RequestUpdates) (released bool)
 	// FetchConfig returns the configuration if it is newer than a version.
 	FetchConfig func(after uint64) FetchConfigReply
-	// FetchServers returns the backend servers' entries that changed after a version.
-	FetchServers func(after uint64) FetchServersReply
+	// FetchServers returns the backend servers' entries that changed after a position.
+	FetchServers func(after watcher.Position) FetchServersReply
 }
 
 // Messenger holds the connections to peers. Dial and Handlers must be set.
@@ -215,13 +216,14 @@
 	return &reply, nil
 }
 
-// FetchServers fetches the backend servers' entries that changed after a store version
+// FetchServers fetches the backend servers' entries that changed after a position
 // from a peer.
 func (m *Messenger) FetchServers(
-	ctx context.Context, address string, after uint64,
+	ctx context.Context, address string, after watcher.Position,
 ) (*FetchServersReply, error) {
 	var reply FetchServersReply
-	if err := m.callWithTimeout(ctx, address, "Servers", &FetchServersArgs{After: after}, &reply); err != nil {
+	args := &FetchServersArgs{After: after.Version, Era: after.Era}
+	if err := m.callWithTimeout(ctx, address, "Servers", args, &reply); err != nil {
 		return nil, err
 	}
 	return &reply, nil
@@ -340,6 +342,6 @@
 
 // Servers answers Messenger.FetchServers.
 func (s *service) Servers(in *FetchServersArgs, out *FetchServersReply) error {
-	*out = s.handlers.FetchServers(in.After)
+	*out = s.handlers.FetchServers(watcher.Position{Era: in.Era, Version: in.After})
 	return nil
 }
--- a/internal/watcher/model_test.go
+++ b/internal/watcher/model_test.go
@@ -104,7 +104,7 @@
 		if q == nil || !q.answered {
 			return false
 		}
-		if self.applyConfig(batch{rows: []Row{{Key: "config", Value: strconv.AppendUint(nil, q.version, 10)}}}) {
+		if self.applyConfig(batch{rows: []Row{{Key: "config", Value: strconv.AppendUint(nil, q.version, 10)}}}) == answerConfirms {
 			self.configState.confirm(q.sentAt)
 		}
 		s.storeRequests[router] = nil
--- a/internal/watcher/outage_test.go
+++ b/internal/watcher/outage_test.go
@@ -57,7 +57,7 @@
 						}
 					}()
 				}
-				w.followTable(ctx, "configuration", table, &w.configState, func(batch) bool { return true })
+				w.followTable(ctx, "configuration", table, &w.configState, func(batch) answerUse { return answerConfirms })
 				// Let the goroutine of the peer end.
 				time.Sleep(time.Second)
 				c.Assert(calls.Load() > 0, qt.IsTrue)
--- a/internal/watcher/restoration_test.go
+++ b/internal/watcher/restoration_test.go
@@ -35,8 +35,8 @@
 				rows[i].Version = position.Version
 			}
 		}
-		a.w.applyServers(batch{rows: rows, fullTable: whole, position: position, requestedAt: a.now})
-		a.w.serversState.confirm(a.now)
+		b := batch{rows: rows, fullTable: whole, position: position, requestedAt: a.now}
+		c.Assert(a.w.handleAnswer("servers", &a.w.serversState, b, a.w.applyServers), qt.Equals, answerConfirms)
 	}
 	read(Position{Era: 1, Version: 46}, true, "x address=x:1 at=40\ny address=y:1 at=46")
 	b.exchange(a)
--- a/internal/watcher/servers.go
+++ b/internal/watcher/servers.go
@@ -12,11 +12,21 @@
 // applyServers applies changes of the backend servers' entries. Entries that are missing
 // after a store outage are kept for lapsedGracePeriod, since running servers write them
 // again.
-func (w *Watcher) applyServers(b batch) bool {
+func (w *Watcher) applyServers(b batch) answerUse {
 	w.serversMu.Lock()
 	defer w.serversMu.Unlock()
+	behind := b.position.Era < w.historySince.Era || b.fullTable && b.position.Compare(w.serversState.applied.load()) < 0
+	if behind && b.requestedAt <= w.peerRowsAt {
+		// A peer has sent later rows in the meantime.
+		return answerOutdated
+	}
+	if behind {
+		// The answer to a later request shows that no store had the peer's rows.
+		w.Log("servers-wound-back", "position", b.position, "was", w.serversState.applied.load())
+		w.serversState.confirmedAt.Store(0)
+	}
 	w.applyServersLocked(b)
-	return true
+	return answerConfirms
 }
 
 // applyServersLocked implements applyServers. serversMu must be held.
@@ -32,7 +42,7 @@
 	if !b.fullTable {
 		// Peers may already have sent newer rows, or the full table was read since.
 		b.rows = slices.DeleteFunc(slices.Clone(b.rows), func(r Row) bool {
-			return r.Version < w.rows[r.Key].Version || w.historySince > 0 && r.Version <= w.historySince
+			return r.Version < w.rows[r.Key].Version || w.historySince.Version > 0 && r.Version <= w.historySince.Version
 		})
 	}
 	listed := map[string]bool{}
@@ -49,10 +59,10 @@
 		}
 	}
 	w.expireLapsed(now)
-	w.serversState.advanceTo(newestVersion(b.rows))
 	if b.fullTable {
-		w.serversState.advanceTo(b.position.Version)
+		w.serversState.applied.store(b.position)
 	}
+	w.serversState.applied.advance(Position{Era: b.position.Era, Version: newestVersion(b.rows)})
 	w.publishServers()
 }
 
@@ -144,8 +154,8 @@
 // before this router regained the store shows that this router was partitioned and the
 // store was available: the lapsed entries are really gone. The method is called with every
 // gossip message, so that lapsed entries also expire while this router need not read the
-// store.
-func (w *Watcher) ApplyPeerContact(peer string, contact time.Duration) {
+// store. Contact with the store in another era than this router's says nothing.
+func (w *Watcher) ApplyPeerContact(peer string, era uint64, contact time.Duration) {
 	w.serversMu.Lock()
 	defer w.serversMu.Unlock()
 	if len(w.lapsedUntil) == 0 {
@@ -154,7 +164,7 @@
 	if w.expireLapsed(w.Now()) {
 		w.publishServers()
 	}
-	if contact < w.StoreContact()+outageThreshold {
+	if era != w.historySince.Era || contact < w.StoreContact()+outageThreshold {
 		return
 	}
 	for id := range w.lapsedUntil {
@@ -200,7 +210,7 @@
 	if w.rows == nil || b.fullTable {
 		w.rows = make(map[string]Row, len(b.rows))
 		// Rows that were deleted before the table was read are not known.
-		w.historySince = b.position.Version
+		w.historySince = b.position
 	}
 	deleted := 0
 	for _, r := range b.rows {
@@ -217,19 +227,19 @@
 	for k, r := range w.rows {
 		if r.Deleted {
 			delete(w.rows, k)
-			w.historySince = max(w.historySince, r.Version)
+			w.historySince.Version = max(w.historySince.Version, r.Version)
 		}
 	}
 }
 
-// ServerRows returns the entries that changed after a version, or all entries and full if
-// deletions since that version are no longer known.
-func (w *Watcher) ServerRows(after uint64) (rows []Row, full bool) {
+// ServerRows returns the entries that changed after a position, or all entries and full if
+// deletions since that position are no longer known or if it is of another era.
+func (w *Watcher) ServerRows(after Position) (rows []Row, full bool) {
 	w.serversMu.Lock()
 	defer w.serversMu.Unlock()
-	full = after < w.historySince
+	full = after.Era != w.historySince.Era || after.Version < w.historySince.Version
 	for _, r := range w.rows {
-		if r.Version > after && !full || full && !r.Deleted {
+		if r.Version > after.Version && !full || full && !r.Deleted {
 			rows = append(rows, r)
 		}
 	}
@@ -237,26 +247,34 @@
 	return rows, full
 }
 
-// ApplyPeerRows applies entries that a peer sent, whose last change was at the version
+// ApplyPeerRows applies entries that a peer sent, whose last change was at the position
 // changed. If confirmed is set, they were confirmed to be the newest at confirmedAt on
 // the boot clock.
 func (w *Watcher) ApplyPeerRows(
-	rows []Row, full bool, changed uint64, confirmedAt time.Duration, confirmed bool,
+	rows []Row, full bool, changed Position, confirmedAt time.Duration, confirmed bool,
 ) {
 	w.serversMu.Lock()
 	defer w.serversMu.Unlock()
-	if changed <= w.serversState.appliedVersion.Load() {
+	if changed.Compare(w.serversState.applied.load()) <= 0 {
 		// This router has already read the change from the store.
 		return
 	}
-	b := batch{rows: rows, fullTable: full, position: Position{Version: changed}, requestedAt: confirmedAt}
+	if changed.Era != w.historySince.Era && !full {
+		w.Log("servers-of-other-era", "position", changed, "known", w.historySince)
+		return
+	}
+	if !w.acceptPeerEra(changed.Era) {
+		return
+	}
+	b := batch{rows: rows, fullTable: full, position: changed, requestedAt: confirmedAt}
 	if age, ok := w.confirmationAge(&w.serversState); ok {
 		b.confirmationAge = max(0, age)
 	}
-	if changed > w.historySince {
+	w.peerRowsAt = w.Now()
+	if changed.Compare(w.historySince) > 0 {
 		w.applyServersLocked(b)
 	}
-	w.serversState.advanceTo(changed)
+	w.serversState.applied.advance(changed)
 	if confirmed {
 		w.serversState.confirm(confirmedAt)
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -36,7 +36,7 @@
 	removedAt time.Duration
 }
 
-// New prepares a watcher so that RequireServersVersion can wake it.
+// New prepares a watcher so that RequireServers can wake it.
 func New(w *Watcher) *Watcher {
 	w.serversState.wake = make(chan struct{}, 1)
 	return w
@@ -109,9 +109,11 @@
 	serversMu sync.Mutex
 	entries   map[string]*cataloger.Server
 	// rows are the entries as the store returned them, including deleted ones, kept to be
-	// sent to peers. They include all changes after historySince, but no deletions up to it.
+	// sent to peers. They are of one era, and include all changes after historySince, but no deletions up to it.
 	rows         map[string]Row
-	historySince uint64
+	historySince Position
+	// peerRowsAt is when a peer's rows were applied last, on the boot clock.
+	peerRowsAt time.Duration
 	// removedDraining are the removed servers that were draining, so that a stale row does
 	// not bring them back within removedTTL.
 	removedDraining map[string]removedServer
@@ -128,12 +130,12 @@
 	// confirmedAt is when the request was sent whose answer confirmed that the rows are the
 	// newest, on the boot clock, in nanoseconds; 0 for never.
 	confirmedAt atomic.Int64
-	// appliedVersion is the store version up to which all changes were applied.
-	appliedVersion atomic.Uint64
-	// wantedVersion is a version that a peer has and this router must read from the store.
+	// applied is the position up to which all changes were applied.
+	applied atomicPosition
+	// wanted is a position that a peer has and this router must read from the store.
 	// wake, if set, interrupts the wait before the next read.
-	wantedVersion atomic.Uint64
-	wake          chan struct{}
+	wanted atomicPosition
+	wake   chan struct{}
 	// loaded says that the table was read whole, and next is the position from which its changes are read.
 	// Only the goroutine that follows the table uses them.
 	loaded bool
@@ -150,16 +152,6 @@
 	}
 }
 
-// advanceTo records that all changes up to a version were applied.
-func (s *tableState) advanceTo(version uint64) {
-	for {
-		old := s.appliedVersion.Load()
-		if version <= old || s.appliedVersion.CompareAndSwap(old, version) {
-			return
-		}
-	}
-}
-
 // installedCatalog is a catalog and its encoding, which is sent to peers.
 type installedCatalog struct {
 	catalog *cataloger.Catalog
@@ -216,26 +208,26 @@
 	return w.Now() - time.Duration(at), true
 }
 
-// ServersAge returns the store version up to which all changes of the servers' entries
+// ServersAge returns the position up to which all changes of the servers' entries
 // are known, and how long ago it was confirmed that there was no later change.
-func (w *Watcher) ServersAge() (changed uint64, age time.Duration, confirmed bool) {
+func (w *Watcher) ServersAge() (changed Position, age time.Duration, confirmed bool) {
 	age, confirmed = w.confirmationAge(&w.serversState)
-	return w.serversState.appliedVersion.Load(), age, confirmed
+	return w.serversState.applied.load(), age, confirmed
 }
 
-// ConfirmServers records that a peer's entries, last changed at a version, were the newest
+// ConfirmServers records that a peer's entries, last changed at a position, were the newest
 // at a time. It reports whether this router lacks entries.
-func (w *Watcher) ConfirmServers(changed uint64, at time.Duration) (behind bool) {
-	applied := w.serversState.appliedVersion.Load()
-	if changed == applied {
+func (w *Watcher) ConfirmServers(changed Position, at time.Duration) (behind bool) {
+	order := changed.Compare(w.serversState.applied.load())
+	if order == 0 {
 		w.serversState.confirm(at)
 	}
-	return changed > applied
+	return order > 0
 }
 
-// RequireServersVersion makes this router read entries up to a version from the store.
-func (w *Watcher) RequireServersVersion(changed uint64) {
-	w.serversState.wantedVersion.Store(changed)
+// RequireServers makes this router read entries up to a position from the store.
+func (w *Watcher) RequireServers(changed Position) {
+	w.serversState.wanted.store(changed)
 	select {
 	case w.serversState.wake <- struct{}{}:
 	default:
@@ -309,6 +301,8 @@
 	// time since the last confirmation then.
 	requestedAt     time.Duration
 	confirmationAge time.Duration
+	// wanted is the position that a peer had when the request was sent, if this router lacks rows up to it.
+	wanted Position
 }
 
 // answerUse is what became of an answer of the store.
@@ -327,7 +321,7 @@
 
 // followTable reads a table, applies its changes, and repeats when the copy is stale.
 func (w *Watcher) followTable(
-	ctx context.Context, name string, t Table, state *tableState, apply func(batch) bool,
+	ctx context.Context, name string, t Table, state *tableState, apply func(batch) answerUse,
 ) {
 	backoff := minBackoff
 	storeLost := false
@@ -388,7 +382,7 @@
 
 // newBatch returns a batch for the answer to a request that is sent now.
 func (w *Watcher) newBatch(state *tableState) batch {
-	b := batch{fullTable: !state.loaded, requestedAt: w.Now()}
+	b := batch{fullTable: !state.loaded, requestedAt: w.Now(), wanted: state.wanted.take()}
 	if age, ok := w.confirmationAge(state); ok {
 		b.confirmationAge = max(0, age)
 	}
@@ -396,7 +390,7 @@
 }
 
 // handleAnswer applies an answer of the store.
-func (w *Watcher) handleAnswer(name string, state *tableState, b batch, apply func(batch) bool) answerUse {
+func (w *Watcher) handleAnswer(name string, state *tableState, b batch, apply func(batch) answerUse) answerUse {
 	if !w.acceptEra(b.position.Era, b.requestedAt) {
 		w.Log("store-answer-outdated", "table", name, "position", b.position)
 		return answerOutdated
@@ -407,15 +401,15 @@
 		state.loaded = false
 		return answerOfOtherEra
 	}
-	use := answerConfirms
-	if apply(b) {
+	use := apply(b)
+	switch use {
+	case answerConfirms:
 		state.confirm(b.requestedAt)
-	} else {
-		use = answerUnreadable
+	case answerOutdated:
+		return use
 	}
-	state.advanceTo(newestVersion(b.rows))
-	if wanted := state.wantedVersion.Load(); wanted <= b.position.Version {
-		state.advanceTo(wanted)
+	if b.wanted.Era == b.position.Era && b.wanted.Version <= b.position.Version {
+		state.applied.advance(b.wanted)
 	}
 	if b.fullTable {
 		w.Log("store-read", "table", name, "position", b.position, "was", state.next, "rows", len(b.rows))
@@ -453,12 +447,12 @@
 	}
 }
 
-// waitUntilStale waits until the confirmation is old or a peer has a newer version.
+// waitUntilStale waits until the confirmation is old or a peer has newer rows.
 func (w *Watcher) waitUntilStale(ctx context.Context, state *tableState) {
 	for {
 		age, ok := w.confirmationAge(state)
 		left := w.ReadStoreAfter() - age
-		if !ok || left <= 0 || state.wantedVersion.Load() > state.appliedVersion.Load() {
+		if !ok || left <= 0 || state.wanted.load().Compare(state.applied.load()) > 0 {
 			return
 		}
 		t := time.NewTimer(min(max(left, minStaleCheckWait), maxStaleCheckWait))
@@ -473,8 +467,8 @@
 	}
 }
 
-// applyConfig installs the configuration of a batch. It reports whether it could be decoded.
-func (w *Watcher) applyConfig(b batch) bool {
+// applyConfig installs the configuration of a batch.
+func (w *Watcher) applyConfig(b batch) answerUse {
 	for _, r := range b.rows {
 		if r.Key != w.ConfigKey || r.Deleted {
 			continue
@@ -483,15 +477,15 @@
 		c, stored, err := w.install(r.Value, "store")
 		if err != nil {
 			w.Log("config-unreadable", "err", err)
-			return false
+			return answerUnreadable
 		}
 		w.Log("config-read", "version", stored, "was", inForce, "in-force", c.Version, "row-version", r.Version)
 	}
-	return true
+	return answerConfirms
 }
 
 // Describe describes the configuration in force for a state dump.
 func (w *Watcher) Describe() string {
 	age, ok := w.ConfigAge()
-	return fmt.Sprintf("version %d, proven %v %v ago; servers known to %d", w.ConfigVersion(), ok, age, w.serversState.appliedVersion.Load())
+	return fmt.Sprintf("version %d, proven %v %v ago; servers known to %v", w.ConfigVersion(), ok, age, w.serversState.applied.load())
 }
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -152,7 +152,7 @@
 			case "peer-contact":
 				var ms int
 				d.ScanArgs(t, "ms", &ms)
-				h.w.ApplyPeerContact("peer", time.Duration(ms)*time.Millisecond)
+				h.w.ApplyPeerContact("peer", 0, time.Duration(ms)*time.Millisecond)
 				return h.describeServers()
 			case "answers-elsewhere":
 				h.w.RemoveServer(d.CmdArgs[0].Key, "test")
@@ -240,12 +240,12 @@
 			case 3:
 				changed, _, _ := other.w.ServersAge()
 				applied, _, _ := self.w.ServersAge()
-				if changed <= applied {
+				if changed.Compare(applied) <= 0 {
 					continue
 				}
 				rows, full := other.w.ServerRows(applied)
 				self.w.ApplyPeerRows(rows, full, changed, self.now, true)
-				knownVersions[r] = changed
+				knownVersions[r] = changed.Version
 			}
 			if self.w.ServerSet() == nil {
 				continue
@@ -289,7 +289,7 @@
 	h.w.applyServers(batch{rows: []Row{row(1, false)}, fullTable: true, requestedAt: h.now})
 	h.w.applyServers(batch{rows: []Row{row(3, true)}, requestedAt: h.now})
 	c.Assert(h.describeServers(), qt.Equals, "none\n")
-	h.w.ApplyPeerRows([]Row{row(1, false)}, true, 2, h.now, true)
+	h.w.ApplyPeerRows([]Row{row(1, false)}, true, Position{Version: 2}, h.now, true)
 	c.Assert(h.describeServers(), qt.Equals, "none\n")
 	h.w.applyServers(batch{rows: []Row{row(1, false)}, requestedAt: h.now})
 	c.Assert(h.describeServers(), qt.Equals, "none\n",
