Let a restored store prove a configuration only once operators wrote again

A key that had been revoked before the store was restored would be accepted with a fresh confirmation: the copy held an older configuration, or the same one without a change that nobody had read, and its answer counted as proof. A router that starts then would put the older one in force as proven.

In a new era an answer proves nothing while the store holds an older configuration than the one in force, nor before the row was written in that era or two seconds have passed. The first router by rank writes which era is settled, so that routers that all start again need not wait.

--- a/internal/conductor/verdict_store.go
+++ b/internal/conductor/verdict_store.go
@@ -17,18 +17,18 @@
 // verdictSaveDelay lets changes of verdicts that belong together be written at once.
 const verdictSaveDelay = 300 * time.Millisecond
 
-// The store is asked up to verdictAttempts times, after verdictRetryDelay at first and twice as long each
+// The store is asked up to storeAttempts times, after storeRetryDelay at first and twice as long each
 // time.
 const (
-	verdictAttempts   = 6
-	verdictRetryDelay = 500 * time.Millisecond
+	storeAttempts   = 6
+	storeRetryDelay = 500 * time.Millisecond
 )
 
-// retryVerdicts calls f until it succeeds, at most verdictAttempts times. Verdicts are an optimization, and
-// the store may be away for long.
-func (n *node) retryVerdicts(ctx context.Context, event string, f func() error) {
-	delay := verdictRetryDelay
-	for range verdictAttempts {
+// retryAsFirst calls f until it succeeds, at most storeAttempts times, at the first router by rank only. What it
+// reads and writes is an optimization, and the store may be away for long.
+func (n *node) retryAsFirst(ctx context.Context, event string, f func() error) {
+	delay := storeRetryDelay
+	for range storeAttempts {
 		if n.membership.StoreReadRank() != 0 {
 			return
 		}
@@ -67,7 +67,7 @@
 	if !pauser.Sleep(ctx, verdictReadDelay) {
 		return
 	}
-	n.retryVerdicts(ctx, "verdicts-not-read", func() error { return n.readVerdicts(ctx) })
+	n.retryAsFirst(ctx, "verdicts-not-read", func() error { return n.readVerdicts(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -77,7 +77,7 @@
 		if !pauser.Sleep(ctx, verdictSaveDelay) {
 			return
 		}
-		n.retryVerdicts(ctx, "verdicts-not-saved", func() error {
+		n.retryAsFirst(ctx, "verdicts-not-saved", func() error {
 			return n.store.PutVerdicts(ctx, platform.Verdicts{
 				SavedUnixMilli: time.Now().UnixMilli(), Evidence: n.quarantiner.Export(timer.SinceBoot()),
 			})
--- a/internal/watcher/era.go
+++ b/internal/watcher/era.go
@@ -1,17 +1,25 @@
 package watcher
 
 import (
+	"context"
 	"sync"
 	"time"
 )
 
+// rewriteTime is how long after a restore of the store operators and servers may take to write again what it lost.
+const rewriteTime = 2 * time.Second
+
 // eraState is the newest era of the store that this router has learned of.
 type eraState struct {
 	mu    sync.Mutex
 	known bool
 	era   uint64
-	// learnedAt is when, on the boot clock.
-	learnedAt time.Duration
+	// learnedAt is when, on the boot clock. Answers to requests that are sent from provesFrom on hold whatever was
+	// written before the era.
+	learnedAt  time.Duration
+	provesFrom time.Duration
+	// settled is set once there was such an answer.
+	settled bool
 }
 
 // acceptEra processes the era of an answer to a request that was sent at a time on the boot clock. It returns false if
@@ -44,12 +52,95 @@
 // learnEra records a new era. eras.mu must be held.
 func (w *Watcher) learnEra(era uint64, source string) {
 	w.Log("store-era", "era", era, "was", w.eras.era, "known", w.eras.known, "from", source)
-	w.eras.known, w.eras.era, w.eras.learnedAt = true, era, w.Now()
+	restored := w.eras.known && era > w.eras.era
+	now := w.Now()
+	w.eras.known, w.eras.era, w.eras.learnedAt, w.eras.settled = true, era, now, false
+	// A store that names no era was never restored.
+	if w.eras.provesFrom = now; era > 0 {
+		w.eras.provesFrom += rewriteTime
+	}
+	if restored && w.OnRestored != nil {
+		w.OnRestored(era)
+	}
+}
+
+// proves reports whether an answer of an era to a request that was sent at a time on the boot clock holds whatever was
+// written before the era.
+func (w *Watcher) proves(era uint64, requestedAt time.Duration) bool {
+	w.eras.mu.Lock()
+	defer w.eras.mu.Unlock()
+	if era != w.eras.era || requestedAt < w.eras.provesFrom {
+		return false
+	}
+	if !w.eras.settled {
+		w.settle("time")
+	}
+	return true
+}
+
+// settle records that the operators have written again what they lost. eras.mu must be held.
+func (w *Watcher) settle(reason string) {
+	w.eras.settled = true
+	w.Log("store-settled", "era", w.eras.era, "by", reason, "after-ms", (w.Now() - w.eras.learnedAt).Milliseconds())
+	if w.OnSettled != nil {
+		w.OnSettled(w.eras.era)
+	}
+}
+
+// settleByRow records that the configuration's row was written in an era before a request was answered that was sent
+// at a time on the boot clock. The row holds the whole configuration, so nothing of it is missing any more.
+func (w *Watcher) settleByRow(era uint64, requestedAt time.Duration) {
+	w.eras.mu.Lock()
+	defer w.eras.mu.Unlock()
+	if era != w.eras.era || w.eras.settled {
+		return
+	}
+	w.eras.provesFrom = min(w.eras.provesFrom, requestedAt)
+	w.settle("row")
+}
+
+// readSettledEra asks the store, unless this router knows, whether the operators have had the time to write again.
+func (w *Watcher) readSettledEra(ctx context.Context) {
+	if w.ReadSettledEra == nil || w.isSettled() {
+		return
+	}
+	requestedAt := w.Now()
+	settled, era, err := w.ReadSettledEra(ctx)
+	if err != nil {
+		w.Log("settled-era-not-read", "err", err)
+		return
+	}
+	if !w.acceptEra(era, requestedAt) || settled != era {
+		return
+	}
+	w.eras.mu.Lock()
+	defer w.eras.mu.Unlock()
+	if w.eras.era == era {
+		w.eras.provesFrom, w.eras.settled = min(w.eras.provesFrom, w.Now()), true
+	}
 }
 
-// current returns the newest era that this router has learned of, 0 if none.
-func (e *eraState) current() uint64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.era
+func (w *Watcher) isSettled() bool {
+	w.eras.mu.Lock()
+	defer w.eras.mu.Unlock()
+	return w.eras.settled
+}
+
+// storedConfig is the configuration that the store held when it was last read.
+type storedConfig struct {
+	// row is the position of the row's last change, with the era in which the row was read. It is zero if there is none.
+	row     Position
+	version uint64
+}
+
+// rewrittenSince reports whether the row was certainly written after the store was restored, if it was read in an earlier era
+// before. Versions of configurations and of their rows only rise within an era.
+func (s storedConfig) rewrittenSince(before storedConfig) bool {
+	if before.version == 0 || s.version < before.version {
+		return false
+	}
+	if s.row.Era == before.row.Era || s.version == before.version {
+		return s.row.Version != before.row.Version
+	}
+	return s.row.Version <= before.row.Version
 }
--- a/internal/watcher/restoration_test.go
+++ b/internal/watcher/restoration_test.go
@@ -88,10 +88,13 @@
 		inForce, copied uint64
 		// known says that the router has followed the store before.
 		known bool
+		// wait is the time until the operators write again.
+		wait time.Duration
 	}{
-		{"router starts", 0, 1, false},
-		{"router knows the lost change", 2, 1, true},
-		{"router missed the lost change", 1, 1, true},
+		{"router starts", 0, 1, false, time.Second},
+		{"router knows the lost change", 2, 1, true, time.Second},
+		{"router missed the lost change", 1, 1, true, time.Second},
+		{"operators are slow", 2, 1, true, 3 * rewriteTime},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -122,7 +125,7 @@
 				}
 				s.set(Position{Era: 2, Version: 40}, tt.copied)
 				restored := now()
-				time.Sleep(time.Second)
+				time.Sleep(tt.wait)
 				if age, ok := w.ConfigAge(); ok {
 					c.Check(now()-age < restored, qt.IsTrue, qt.Commentf("version %d was confirmed by the copy", w.ConfigVersion()))
 				}
@@ -137,3 +140,48 @@
 		})
 	}
 }
+
+// Guards against an answer from before a restore that arrives after one of the new era and brings back the entries and the
+// position of the lost history.
+func TestAnswerFromBeforeRestoreIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness()
+	answer := func(era uint64, whole bool, sentAgo time.Duration, entries string) answerUse {
+		b := batch{
+			rows: parseRows(t, entries), fullTable: whole, position: Position{Era: era, Version: 9}, requestedAt: h.now - sentAgo,
+		}
+		return h.w.handleAnswer("servers", &h.w.serversState, b, h.w.applyServers)
+	}
+	c.Assert(answer(1, true, 0, "x address=x:1 at=9"), qt.Equals, answerConfirms)
+	h.now += time.Second
+	c.Assert(answer(2, true, 0, "x address=x:1 at=8 leaving"), qt.Equals, answerConfirms)
+	h.now += time.Second
+	c.Assert(answer(1, true, 1500*time.Millisecond, "x address=x:1 at=9\ny address=y:1 at=9"), qt.Equals, answerOutdated)
+	c.Assert(answer(1, false, 1500*time.Millisecond, "y address=y:1 at=9"), qt.Equals, answerOutdated)
+	c.Assert(h.describeServers(), qt.Equals, "x at x:1 not usable\n")
+	c.Assert(h.w.serversState.next, qt.Equals, Position{Era: 2, Version: 9})
+}
+
+// Guards against a row of the copy that is taken for one that the operators have written since the restore.
+func TestRowOfCopyIsNotRewritten(t *testing.T) {
+	row := func(era, rowVersion, version uint64) storedConfig {
+		return storedConfig{row: Position{Era: era, Version: rowVersion}, version: version}
+	}
+	for _, tt := range []struct {
+		name        string
+		before, now storedConfig
+		rewritten   bool
+	}{
+		{"first read", storedConfig{}, row(2, 10, 1), false},
+		{"same row", row(1, 10, 1), row(2, 10, 1), false},
+		{"older configuration", row(1, 10, 2), row(2, 5, 1), false},
+		{"newer one that was not read before the restore", row(1, 10, 1), row(2, 12, 2), false},
+		{"same configuration, another row version", row(1, 10, 1), row(2, 9, 1), true},
+		{"newer configuration, row version of an older one", row(1, 10, 1), row(2, 10, 2), true},
+		{"written in this era", row(2, 10, 1), row(2, 11, 2), true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			qt.Assert(t, tt.now.rewrittenSince(tt.before), qt.Equals, tt.rewritten)
+		})
+	}
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -96,12 +96,21 @@
 	// OnCatalog and OnServers, if set, are called after changes.
 	OnCatalog func(*cataloger.Catalog)
 	OnServers func(*ServerSet)
+	// ReadSettledEra, if set, reads the era that OnSettled was called with last, by any router, and the store's
+	// current one.
+	ReadSettledEra func(ctx context.Context) (settled, era uint64, err error)
+	// OnRestored, if set, is called when the store was restored from a copy while this router runs. OnSettled, if set, is called
+	// when the operators have had the time to write again what the store lost. Neither may block.
+	OnRestored func(era uint64)
+	OnSettled  func(era uint64)
 
 	catalog      atomic.Pointer[installedCatalog]
 	serverSet    atomic.Pointer[ServerSet]
 	configState  tableState
 	serversState tableState
 	eras         eraState
+	// stored is used by the goroutine that follows the configuration only.
+	stored storedConfig
 
 	// installMu serializes installations. serversMu guards the fields below it, except
 	// contactSince.
@@ -311,6 +320,8 @@
 const (
 	// answerConfirms: this router's copy was the newest when the request was sent.
 	answerConfirms answerUse = iota
+	// answerUnproven: this router's copy may lack changes that the store lost when it was restored.
+	answerUnproven
 	// answerUnreadable: a row could not be decoded.
 	answerUnreadable
 	// answerOutdated: the answer is from before a restore of the store.
@@ -327,6 +338,9 @@
 	storeLost := false
 	w.waitForPeers(ctx, state)
 	for ctx.Err() == nil {
+		if state == &w.configState && !state.loaded {
+			w.readSettledEra(ctx)
+		}
 		b, err := w.readTable(ctx, t, state)
 		if err == nil {
 			backoff = minBackoff
@@ -336,6 +350,8 @@
 			case answerOutdated:
 				pauser.Sleep(ctx, minBackoff)
 				continue
+			case answerUnproven:
+				pauser.Sleep(ctx, max(w.ReadStoreAfter(), minBackoff))
 			case answerUnreadable:
 				// A corrected row may follow soon.
 				pauser.Sleep(ctx, maxBackoff)
@@ -469,17 +485,30 @@
 
 // applyConfig installs the configuration of a batch.
 func (w *Watcher) applyConfig(b batch) answerUse {
+	before := w.stored
+	if b.fullTable {
+		w.stored = storedConfig{}
+	}
 	for _, r := range b.rows {
 		if r.Key != w.ConfigKey || r.Deleted {
 			continue
 		}
 		inForce := w.ConfigVersion()
-		c, stored, err := w.install(r.Value, "store")
+		c, version, err := w.install(r.Value, "store")
 		if err != nil {
 			w.Log("config-unreadable", "err", err)
 			return answerUnreadable
 		}
-		w.Log("config-read", "version", stored, "was", inForce, "in-force", c.Version, "row-version", r.Version)
+		w.Log("config-read", "version", version, "was", inForce, "in-force", c.Version, "row-version", r.Version)
+		w.stored = storedConfig{row: Position{Era: b.position.Era, Version: r.Version}, version: version}
+		if w.stored.rewrittenSince(before) {
+			w.settleByRow(b.position.Era, b.requestedAt)
+		}
+		before = w.stored
+	}
+	// A restored store that holds an older configuration than the one in force shows that it lost some.
+	if w.stored.version < w.ConfigVersion() || !w.proves(b.position.Era, b.requestedAt) {
+		return answerUnproven
 	}
 	return answerConfirms
 }
