Doubt entries of a restored store that contradict what was learned since

A copy of the store lacks the servers that came since it was made, and has those that left for good. A router took both at its word: it dropped servers that were alive, when the store had been away for less than 1.5 s, and sent requests to servers that were gone, or to the address that a server had before it started again.

Missing entries lapse as after an outage. An entry whose server this router knows to have gone, or to have started again, is ignored until it is written again, or for six seconds, in which the store drops those that nobody writes. At most 4096 removed servers are remembered.

--- a/internal/watcher/restoration_test.go
+++ b/internal/watcher/restoration_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -9,6 +12,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"papayapaddle/internal/cataloger"
 )
@@ -185,3 +189,135 @@
 		})
 	}
 }
+
+// Guards against a table of removed servers that grows with servers that come and go.
+func TestRemovedServersAreBounded(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness()
+	for i := range maxRemovedServers + 100 {
+		rows := parseRows(t, fmt.Sprintf("s%d address=x:1 at=%d", i, 2*i+1))
+		h.w.applyServers(batch{rows: rows, requestedAt: h.now})
+		h.now += time.Millisecond
+		h.w.RemoveServer(rows[0].Key, "test")
+	}
+	c.Assert(h.w.removed, qt.HasLen, maxRemovedServers)
+	_, newest := h.w.removed[fmt.Sprint("s", maxRemovedServers+99)]
+	c.Assert(newest, qt.IsTrue)
+	h.now += 2 * removedTTL
+	h.w.applyServers(batch{rows: parseRows(t, "last address=x:1 at=99999"), requestedAt: h.now})
+	h.w.RemoveServer("last", "test")
+	c.Assert(h.w.removed, qt.HasLen, 1)
+}
+
+// routersAndStore is a chain of routers of which the first one reads the store.
+type routersAndStore struct {
+	routers []*harness
+	era     uint64
+	// history holds the changes of the current era, and live what the servers would write.
+	history []Row
+	live    map[string]Row
+}
+
+func (s *routersAndStore) write(r Row) {
+	r.Version = uint64(len(s.history) + 1)
+	s.history = append(s.history, r)
+	s.live[r.Key] = r
+}
+
+// read lets a router read the store.
+func (s *routersAndStore) read(router int) {
+	w := s.routers[router].w
+	for range 2 {
+		b := w.newBatch(&w.serversState)
+		from := w.serversState.next.Version
+		b.position = Position{Era: s.era, Version: uint64(len(s.history))}
+		switch {
+		case b.fullTable:
+			b.rows = liveRows(s.history)
+		case from > uint64(len(s.history)):
+			w.serversState.loaded = false
+			continue
+		default:
+			b.rows = slices.Clone(s.history[from:])
+		}
+		if w.handleAnswer("servers", &w.serversState, b, w.applyServers) != answerOfOtherEra {
+			return
+		}
+	}
+}
+
+// restore loses the changes after a version. All servers and, where some have gone, the store write again what differs.
+func (s *routersAndStore) restore(version int) {
+	s.era++
+	s.history = slices.Clone(s.history[:version])
+}
+
+func (s *routersAndStore) writeAgain() {
+	stored := map[string]Row{}
+	for _, r := range s.history {
+		stored[r.Key] = r
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.live)) {
+		if was, live := stored[key], s.live[key]; string(was.Value) != string(live.Value) || was.Deleted != live.Deleted {
+			s.write(live)
+		}
+	}
+}
+
+// Guards against routers that do not agree with the store some time after it was restored, whichever of them read it and
+// however their messages and the store's answers were ordered or lost.
+func TestEntriesConvergeAfterRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &routersAndStore{routers: []*harness{newHarness(), newHarness(), newHarness()}, era: 1, live: map[string]Row{}}
+		wait := func(d time.Duration) {
+			for _, h := range s.routers {
+				h.now += d
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			wait(30 * time.Millisecond)
+			router := rapid.IntRange(0, 2).Draw(t, "router")
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1, 2:
+				n := len(s.history) + 1
+				row := Row{
+					Key:     rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key"),
+					Deleted: rapid.Bool().Draw(t, "deleted"),
+				}
+				if !row.Deleted {
+					row.Value = fmt.Appendf(nil, `{"Service":"pool","Address":"x:%d","StartedUnixMilli":%d}`, n, s.routers[0].now)
+				}
+				s.write(row)
+			case 3, 4:
+				s.read(router)
+			case 5, 6, 7:
+				s.routers[router].exchange(s.routers[rapid.IntRange(0, 2).Draw(t, "peer")])
+			case 8:
+				s.restore(rapid.IntRange(0, len(s.history)).Draw(t, "copied version"))
+				if rapid.Bool().Draw(t, "written again at once") {
+					s.writeAgain()
+				}
+			case 9:
+				s.routers[router] = newHarness()
+				s.routers[router].now = s.routers[(router+1)%3].now
+			}
+		}
+		s.writeAgain()
+		for range 2 {
+			s.read(0)
+			s.routers[1].exchange(s.routers[0])
+			s.routers[2].exchange(s.routers[1])
+			wait(copiedEntryGracePeriod + time.Second)
+			for _, h := range s.routers {
+				h.w.ApplyPeerContact("peer", 0, 0)
+			}
+		}
+		want := newHarness()
+		want.w.applyServers(batch{rows: liveRows(s.history), fullTable: true, requestedAt: want.now})
+		for i, h := range s.routers {
+			if h.describeServers() != want.describeServers() {
+				t.Fatalf("router %d has\n%sbut the store has\n%s", i, h.describeServers(), want.describeServers())
+			}
+		}
+	})
+}
--- a/internal/watcher/servers.go
+++ b/internal/watcher/servers.go
@@ -32,11 +32,12 @@
 // applyServersLocked implements applyServers. serversMu must be held.
 func (w *Watcher) applyServersLocked(b batch) {
 	if w.entries == nil {
-		w.entries, w.removedDraining, w.lapsedUntil = map[string]*cataloger.Server{},
-			map[string]removedServer{}, map[string]time.Duration{}
+		w.entries, w.removed = map[string]*cataloger.Server{}, map[string]removedServer{}
+		w.lapsedUntil, w.doubtedUntil = map[string]time.Duration{}, map[string]time.Duration{}
 	}
 	now := w.Now()
-	if b.confirmationAge > outageThreshold || w.contactSince.Load() == 0 {
+	b.restored = b.fullTable && w.rows != nil && b.position.Era > w.historySince.Era
+	if b.confirmationAge > outageThreshold || b.restored || w.contactSince.Load() == 0 {
 		w.contactSince.Store(int64(b.requestedAt))
 	}
 	if !b.fullTable {
@@ -46,18 +47,23 @@
 		})
 	}
 	listed := map[string]bool{}
-	w.cacheRows(b)
 	for _, r := range b.rows {
 		listed[r.Key] = true
+		if w.isDoubted(r, b, now) {
+			continue
+		}
+		delete(w.doubtedUntil, r.Key)
 		w.applyRow(r, b, now)
 	}
 	if b.fullTable {
+		maps.DeleteFunc(w.doubtedUntil, func(id string, _ time.Duration) bool { return !listed[id] })
 		for id := range w.entries {
 			if !listed[id] {
 				w.handleMissingEntry(id, b, now)
 			}
 		}
 	}
+	w.cacheRows(b)
 	w.expireLapsed(now)
 	if b.fullTable {
 		w.serversState.applied.store(b.position)
@@ -66,17 +72,57 @@
 	w.publishServers()
 }
 
-// expireLapsed removes the lapsed entries whose grace period has ended and reports
-// whether there were any.
+// isDoubted reports whether a row is ignored for now: the store was restored from a copy, and the row is that of a
+// server that has gone since the copy was made, or that has started again.
+func (w *Watcher) isDoubted(r Row, b batch, now time.Duration) bool {
+	if !b.restored {
+		_, doubted := w.doubtedUntil[r.Key]
+		return doubted && r.Version == w.rows[r.Key].Version && !r.Deleted
+	}
+	s, err := w.DecodeServer(r)
+	if err != nil {
+		// applyRow logs it.
+		return false
+	}
+	last := w.entries[s.ID]
+	if last == nil {
+		removed, ok := w.removed[s.ID]
+		if ok && removed.SameIncarnation(s) && r.Version <= removed.position.Version {
+			w.doubt(s, "gone before the store was restored", now)
+			return true
+		}
+		last = removed.Server
+	}
+	if last == nil || s.StartedUnixMilli >= last.StartedUnixMilli {
+		return false
+	}
+	w.doubt(s, "started again before the store was restored", now)
+	return true
+}
+
+func (w *Watcher) doubt(s *cataloger.Server, reason string, now time.Duration) {
+	w.doubtedUntil[s.ID] = now + copiedEntryGracePeriod
+	w.Log("server-doubted", "server", s.ID, "address", s.Address, "born", s.StartedUnixMilli, "why", reason)
+}
+
+// expireLapsed ends the grace periods that are over: lapsed entries are removed, and doubted ones are used. It reports whether
+// there were any.
 func (w *Watcher) expireLapsed(now time.Duration) bool {
-	removed := false
+	changed := false
 	for id, till := range w.lapsedUntil {
 		if now > till {
 			w.removeEntry(id, "did not return after the store did")
-			removed = true
+			changed = true
 		}
 	}
-	return removed
+	for id, till := range w.doubtedUntil {
+		if now > till {
+			delete(w.doubtedUntil, id)
+			w.applyRow(w.rows[id], batch{}, now)
+			changed = true
+		}
+	}
+	return changed
 }
 
 // applyRow applies one row.
@@ -97,7 +143,7 @@
 		// A draining server stays so until its next incarnation.
 		return
 	}
-	if removed, ok := w.removedDraining[s.ID]; ok && removed.SameIncarnation(s) {
+	if removed, ok := w.removed[s.ID]; ok && removed.Draining && removed.SameIncarnation(s) {
 		return
 	}
 	if old == nil || !old.SameIncarnation(s) || old.Draining != s.Draining || old.Service != s.Service {
@@ -108,17 +154,18 @@
 }
 
 // handleMissingEntry removes an entry that is no longer listed. If the store was
-// unavailable, the entry lapses first, unless its server was draining.
+// unavailable or restored, the entry lapses first, unless its server was draining.
 func (w *Watcher) handleMissingEntry(id string, b batch, now time.Duration) {
 	s := w.entries[id]
 	if s == nil {
 		return
 	}
-	if b.confirmationAge > outageThreshold && !s.Draining {
-		if _, ok := w.lapsedUntil[id]; !ok {
-			w.lapsedUntil[id] = now + lapsedGracePeriod
-			w.Log("server-lapsed", "server", id, "away-ms", b.confirmationAge.Milliseconds())
-		}
+	if _, lapsed := w.lapsedUntil[id]; lapsed {
+		return
+	}
+	if (b.confirmationAge > outageThreshold || b.restored) && !s.Draining {
+		w.lapsedUntil[id] = now + lapsedGracePeriod
+		w.Log("server-lapsed", "server", id, "away-ms", b.confirmationAge.Milliseconds(), "restored", b.restored)
 		return
 	}
 	w.removeEntry(id, "no longer listed")
@@ -131,15 +178,27 @@
 	if s == nil {
 		return
 	}
-	if s.Draining {
-		now := w.Now()
-		maps.DeleteFunc(w.removedDraining, func(_ string, r removedServer) bool { return now-r.removedAt > removedTTL })
-		w.removedDraining[id] = removedServer{Server: s, removedAt: now}
-	}
+	w.remember(s)
 	delete(w.entries, id)
 	w.Log("server-gone", "server", id, "address", s.Address, "why", reason)
 }
 
+// remember records a server whose entry is removed.
+func (w *Watcher) remember(s *cataloger.Server) {
+	now := w.Now()
+	maps.DeleteFunc(w.removed, func(_ string, r removedServer) bool { return now-r.removedAt > removedTTL })
+	if len(w.removed) >= maxRemovedServers {
+		oldest := ""
+		for id, r := range w.removed {
+			if oldest == "" || r.removedAt < w.removed[oldest].removedAt {
+				oldest = id
+			}
+		}
+		delete(w.removed, oldest)
+	}
+	w.removed[s.ID] = removedServer{Server: s, removedAt: now, position: w.serversState.applied.load()}
+}
+
 // StoreContact returns how long the servers' table has been confirmed current without an
 // interruption.
 func (w *Watcher) StoreContact() time.Duration {
@@ -158,7 +217,7 @@
 func (w *Watcher) ApplyPeerContact(peer string, era uint64, contact time.Duration) {
 	w.serversMu.Lock()
 	defer w.serversMu.Unlock()
-	if len(w.lapsedUntil) == 0 {
+	if len(w.lapsedUntil) == 0 && len(w.doubtedUntil) == 0 {
 		return
 	}
 	if w.expireLapsed(w.Now()) {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -25,15 +25,21 @@
 	// outageThreshold is the time without a confirmation, by this router or a peer, after
 	// which the store counts as unavailable.
 	outageThreshold = 1500 * time.Millisecond
-	// removedTTL is how long a removed server that was draining is remembered. Reads are stale by
-	// seconds at most.
-	removedTTL = 10 * time.Minute
+	// removedTTL is how long a removed server is remembered. Reads are stale by seconds at most, and copies from which
+	// the store is restored are recent. At most maxRemovedServers are remembered.
+	removedTTL        = 10 * time.Minute
+	maxRemovedServers = 4096
+	// copiedEntryGracePeriod is how long an entry of a restored store is ignored that contradicts what this router has learned since
+	// the copy was made. The store removes entries that are not written for three heartbeats.
+	copiedEntryGracePeriod = 6 * time.Second
 )
 
 // removedServer is a server whose entry was removed.
 type removedServer struct {
 	*cataloger.Server
 	removedAt time.Duration
+	// position is the position up to which changes were known then. The entry's row was written before.
+	position Position
 }
 
 // New prepares a watcher so that RequireServers can wake it.
@@ -123,9 +129,11 @@
 	historySince Position
 	// peerRowsAt is when a peer's rows were applied last, on the boot clock.
 	peerRowsAt time.Duration
-	// removedDraining are the removed servers that were draining, so that a stale row does
-	// not bring them back within removedTTL.
-	removedDraining map[string]removedServer
+	// removed are the removed servers, so that a stale row does not bring back one that was draining, nor a
+	// copy of the store one that is gone.
+	removed map[string]removedServer
+	// doubtedUntil holds the entries of a restored store that are ignored, and until when unless they are written again.
+	doubtedUntil map[string]time.Duration
 	// lapsedUntil holds the entries that vanished during a store outage, and when they are
 	// removed unless the store lists them again. They are in use until then.
 	lapsedUntil map[string]time.Duration
@@ -310,6 +318,8 @@
 	// time since the last confirmation then.
 	requestedAt     time.Duration
 	confirmationAge time.Duration
+	// restored says that the store was restored from a copy since the table was read before.
+	restored bool
 	// wanted is the position that a peer had when the request was sent, if this router lacks rows up to it.
 	wanted Position
 }
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -106,6 +106,10 @@
 		rows: parseRows(t, d.Input), fullTable: d.HasArg("whole"), requestedAt: h.now,
 		confirmationAge: max(0, h.now-h.lastAnswerAt),
 	}
+	if d.HasArg("era") {
+		d.ScanArgs(t, "era", &out.position.Era)
+	}
+	out.position.Version = newestVersion(out.rows)
 	h.lastAnswerAt = h.now
 	return out
 }
@@ -133,9 +137,7 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "servers":
-				answer := h.batch(t, d)
-				h.w.applyServers(answer)
-				h.w.serversState.confirm(answer.requestedAt)
+				h.w.handleAnswer("servers", &h.w.serversState, h.batch(t, d), h.w.applyServers)
 				return h.describeServers()
 			case "config":
 				answer := h.batch(t, d)
@@ -151,8 +153,12 @@
 				return h.describeConfig()
 			case "peer-contact":
 				var ms int
+				var era uint64
 				d.ScanArgs(t, "ms", &ms)
-				h.w.ApplyPeerContact("peer", 0, time.Duration(ms)*time.Millisecond)
+				if d.HasArg("era") {
+					d.ScanArgs(t, "era", &era)
+				}
+				h.w.ApplyPeerContact("peer", era, time.Duration(ms)*time.Millisecond)
 				return h.describeServers()
 			case "answers-elsewhere":
 				h.w.RemoveServer(d.CmdArgs[0].Key, "test")
