Write the rows of routers again when a restored store may have lost them

A router that starts after a restore finds no peers in the store if the copy is older than their start: each wrote its entry once, when it started. The verdicts on what crashes servers were written on a change only.

The first router by rank writes the verdicts and the settled era again.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -105,6 +105,11 @@
 	verdictsChanged chan struct{}
 	// settledEras receives an era when the operators have written again what the store lost before it.
 	settledEras chan uint64
+	// era is the store's era. eraLearned receives a value when it or registeredEra, in which the store has this
+	// router's entry, has changed.
+	era           atomic.Uint64
+	registeredEra atomic.Uint64
+	eraLearned    chan struct{}
 	// excluder holds the servers that told this router to send them nothing.
 	excluder excluder.Excluder
 	// limits holds the rates that servers name in their answers.
@@ -176,7 +181,7 @@
 	rand.Read(b[:])
 	n := &node{
 		settings: s, recorder: rec, metrics: newMetricSet(), balancer: &balancer.Balancer{Zone: s.AvailabilityZone},
-		done: make(chan struct{}), verdictsChanged: make(chan struct{}, 1), settledEras: make(chan uint64, 1), startedAt: timer.SinceBoot(),
+		done: make(chan struct{}), verdictsChanged: make(chan struct{}, 1), settledEras: make(chan uint64, 1), eraLearned: make(chan struct{}, 1), startedAt: timer.SinceBoot(),
 		self: messenger.Peer{
 			Name: s.Name, Address: s.PeerAddress(), AvailabilityZone: s.AvailabilityZone, CPUShare: s.Limits.CPUShare,
 			// The high bits are the time, so that a later process has a larger incarnation.
@@ -207,7 +212,7 @@
 		ConfigTable: s.ConfigTable(), ServerTable: s.ServerTable(),
 		DecodeCatalog: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
 		ConfigKey: platform.ConfigKey, Now: timer.SinceBoot, ReadStoreAfter: n.storeReadAge, WaitForPeersUntil: n.waitForPeersUntil, MaxBackoff: n.maxStoreBackoff, Log: n.log,
-		ReadSettledEra: s.GetSettledEra, OnSettled: n.handleSettledEra,
+		ReadSettledEra: s.GetSettledEra, OnSettled: n.handleSettledEra, OnEra: n.handleEra,
 	})
 }
 
--- a/internal/conductor/gossip.go
+++ b/internal/conductor/gossip.go
@@ -285,12 +285,7 @@
 // repeatedly. The write comes first so that of two routers that start at the same time, at
 // least the one that writes last sees the other.
 func (n *node) register(ctx context.Context) {
-	err := n.retry(ctx, func() error {
-		return n.store.PutRouter(ctx, platform.RouterEntry{
-			Name: n.self.Name, Address: n.self.Address, AvailabilityZone: n.self.AvailabilityZone, Incarnation: n.self.Incarnation,
-			CPUShare: n.self.CPUShare,
-		})
-	})
+	err := n.retry(ctx, func() error { return n.putRouter(ctx) })
 	// A write that the store applies late may be missing from another router's read, so the
 	// list is read again soon and then at growing intervals. Within each group of routers that
 	// can reach each other only the first by rank does so.
@@ -304,6 +299,19 @@
 	}
 }
 
+// putRouter writes this router's entry.
+func (n *node) putRouter(ctx context.Context) error {
+	era, err := n.store.PutRouter(ctx, platform.RouterEntry{
+		Name: n.self.Name, Address: n.self.Address, AvailabilityZone: n.self.AvailabilityZone, Incarnation: n.self.Incarnation,
+		CPUShare: n.self.CPUShare,
+	})
+	if err == nil {
+		n.registeredEra.Store(era)
+		notify(n.eraLearned)
+	}
+	return err
+}
+
 // retry calls f until it succeeds or the context ends.
 func (n *node) retry(ctx context.Context, f func() error) error {
 	for {
--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -96,6 +96,7 @@
 	go n.keepVerdicts(ctx)
 	go n.keepSettledEra(ctx)
 	go n.register(ctx)
+	go n.keepRegistered(ctx)
 	n.log("started", "callers", n.settings.Listen.Callers, "zone", n.settings.AvailabilityZone,
 		"incarnation", n.self.Incarnation, "store", n.settings.Store.Address, "memory-mb", n.settings.Limits.MemoryMB)
 	return nil
--- a/internal/conductor/quarantine.go
+++ b/internal/conductor/quarantine.go
@@ -34,10 +34,7 @@
 	} else {
 		event += "-released"
 	}
-	select {
-	case n.verdictsChanged <- struct{}{}:
-	default:
-	}
+	notify(n.verdictsChanged)
 	n.metrics.increment(event)
 	n.log(event, "part-key", fmt.Sprintf("%x", v.Part), "one-workspace", v.Workspace != 0, "crashes", v.Crashes,
 		"test-in-s", int((v.Until - timer.SinceBoot()).Seconds()))
--- a/internal/conductor/restoration_test.go
+++ b/internal/conductor/restoration_test.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -8,7 +9,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"papayapaddle/internal/linker"
 	"papayapaddle/internal/messenger"
+	"papayapaddle/platform"
 	"papayapaddle/platform/standin"
 )
 
@@ -89,3 +92,33 @@
 	c.Cleanup(func() { ln.Close() })
 	return ln.Addr().String()
 }
+
+// Guards against rows that routers wrote themselves and that stay lost after the store was restored from a copy: a router that
+// starts later would find no peers, no verdicts, and no settled era.
+func TestRowsOfRoutersAreLostInRestore(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+	copied := f.cluster.Store.Version()
+	f.start("a")
+	f.start("b")
+	f.crashOn("bad")
+	tick := time.NewTicker(crashInterval)
+	defer tick.Stop()
+	for i := range crashesBeforeVerdict {
+		<-tick.C
+		_, _ = f.callWithParts("a", fmt.Sprintf("before-%d", i), "first", "bad")
+	}
+	store := platform.NewStore(f.cluster.StoreAddress(), linker.NewKeepAliveDialer(connSilenceTimeout))
+	written := func() bool {
+		routers, _, err := store.ListRouters(t.Context())
+		c.Assert(err, qt.IsNil)
+		verdicts, err := store.GetVerdicts(t.Context())
+		c.Assert(err, qt.IsNil)
+		settled, era, err := store.GetSettledEra(t.Context())
+		c.Assert(err, qt.IsNil)
+		return len(routers) == 2 && len(verdicts.Evidence) == 1 && settled == era
+	}
+	eventually(c, "the routers have written their rows", written)
+	f.cluster.RestoreStore(copied, 0)
+	eventually(c, "the routers have written their rows again", written)
+}
--- a/internal/watcher/era.go
+++ b/internal/watcher/era.go
@@ -59,8 +59,8 @@
 	if w.eras.provesFrom = now; era > 0 {
 		w.eras.provesFrom += rewriteTime
 	}
-	if restored && w.OnRestored != nil {
-		w.OnRestored(era)
+	if w.OnEra != nil {
+		w.OnEra(era, restored)
 	}
 }
 
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -105,10 +105,11 @@
 	// ReadSettledEra, if set, reads the era that OnSettled was called with last, by any router, and the store's
 	// current one.
 	ReadSettledEra func(ctx context.Context) (settled, era uint64, err error)
-	// OnRestored, if set, is called when the store was restored from a copy while this router runs. OnSettled, if set, is called
-	// when the operators have had the time to write again what the store lost. Neither may block.
-	OnRestored func(era uint64)
-	OnSettled  func(era uint64)
+	// OnEra, if set, is called when this router learns of another era than before; restored says that the store was
+	// restored from a copy since. OnSettled, if set, is called when the operators have had the time to write again what the store
+	// lost. Neither may block.
+	OnEra     func(era uint64, restored bool)
+	OnSettled func(era uint64)
 
 	catalog      atomic.Pointer[installedCatalog]
 	serverSet    atomic.Pointer[ServerSet]
