Restore the store from a copy in the soak

The fault makes the store unavailable, restores it from a copy up to 9 s old, and lets operators and servers write again within 1.5 s; it overlaps with the others, key rotation among them.

--- a/internal/soaker/faults_test.go
+++ b/internal/soaker/faults_test.go
@@ -17,7 +17,8 @@
 	killRouter, killRouter, pauseRouter, pauseRouter, killAllRouters, stopRouter, stopRouter, stopRouter,
 	sendSIGHUP, disruptStoreProxies, disruptStoreProxies, disruptServerProxy, disruptServerProxy,
 	makeStoreUnavailable, compactStore, makeServersMisbehave, makeServersMisbehave,
-	rotateKey, rotateKey, rotateKey, drainServer, sendDeadly, leaveServer, pauseServers, limitServers}
+	rotateKey, rotateKey, rotateKey, drainServer, sendDeadly, leaveServer, pauseServers, limitServers,
+	restoreStore, restoreStore}
 
 // injectFaults injects random faults for a duration. Faults can overlap.
 func (s *soak) injectFaults(duration time.Duration) {
@@ -107,6 +108,25 @@
 	s.cluster.Store.Compact()
 }
 
+// maxCopyAge and maxRewriteDelay bound the age of a copy from which the store is restored and the time until operators and
+// servers write again what it lost.
+const (
+	maxCopyAge      = 9 * time.Second
+	maxRewriteDelay = 1500 * time.Millisecond
+)
+
+// restoreStore makes the store unavailable and then restores it from a copy.
+func restoreStore(s *soak, duration time.Duration) {
+	delay := time.Duration(s.rng.Int64N(int64(maxRewriteDelay)))
+	copied := s.cluster.Store.VersionAt(time.Now().Add(-time.Duration(s.rng.Int64N(int64(maxCopyAge)))))
+	s.markDisturbed(duration + delay)
+	s.cluster.Store.SetDown(true)
+	schedule(duration, func() {
+		s.cluster.RestoreStore(copied, delay)
+		s.cluster.Store.SetDown(false)
+	})
+}
+
 func makeServersMisbehave(s *soak, duration time.Duration) {
 	s.markDisturbed(duration)
 	s.mu.Lock()
