Count each end of a server that restarts before routers know of it

A request that crashed a model server reached five of them where four are allowed, while the server came back under its ID at once: routers still knew it as the incarnation that had ended, so its second end was evidence that they had. The identity of an end was the listed incarnation.

A request that was sent 0.25 s or more after the end of the incarnation that a router knows was on the next one, whose key follows from that of the one before; all routers derive the same.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -138,6 +138,8 @@
 // LostRequest is a request whose answer had not arrived when its server ended.
 type LostRequest struct {
 	Request
+	// SentAt is when it was sent.
+	SentAt time.Duration
 	// Begun says that the header or a first event of its answer had arrived.
 	Begun bool
 }
@@ -232,12 +234,30 @@
 	defer q.mu.Unlock()
 	for _, p := range lost {
 		for depth, part := range p.keys() {
-			q.add(part, depth, server, &crash{at: now, release: release, workspaces: []uint64{p.Workspace}, begun: p.Begun})
+			q.add(part, depth, q.incarnationAt(part, server, p.SentAt), &crash{at: now, release: release, workspaces: []uint64{p.Workspace}, begun: p.Begun})
 		}
 	}
 	q.update(now)
 }
 
+// incarnationAt returns the key of the incarnation of a server that a request was sent to: after one has ended, routers know the
+// next one under the same key until they learn of its start. The lock must be held.
+func (q *Quarantiner) incarnationAt(part, server uint64, sentAt time.Duration) uint64 {
+	r := q.records[part]
+	for range maxCrashesPerPart {
+		if r == nil || r.crashes[server] == nil || sentAt < r.crashes[server].at+minRestartTime {
+			break
+		}
+		server = nextIncarnation(server)
+	}
+	return server
+}
+
+// nextIncarnation returns the key of the unknown incarnation that follows one that ended.
+func nextIncarnation(server uint64) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, server))
+}
+
 // SetReleases sets the releases of the servers that are listed now. A part that crashed only servers
 // of other releases may be tested at once.
 func (q *Quarantiner) SetReleases(now time.Duration, releases []Release) {
@@ -336,12 +356,16 @@
 	if !suspected {
 		return
 	}
+	incarnations := make([]uint64, 0, maxCrashesPerPart)
+	for key := server; len(incarnations) < maxCrashesPerPart; key = nextIncarnation(key) {
+		incarnations = append(incarnations, key)
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for part, r := range q.records {
 		answered := req.has(part)
 		for other, c := range r.crashes {
-			if !c.cleared && (answered || other == server && sentAt < c.at+minRestartTime) {
+			if !c.cleared && (answered || slices.Contains(incarnations, other) && sentAt < c.at+minRestartTime) {
 				c.cleared = true
 				r.announceUntil = now + announceTime
 				q.version++
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -101,8 +101,19 @@
 		return ""
 	case f[0] == "crash":
 		var lost []LostRequest
+		sentAt := s.now
 		for _, p := range f[3:] {
-			lost = append(lost, s.prompt(p))
+			if text, ok := strings.CutPrefix(p, "sent-before="); ok {
+				before, err := time.ParseDuration(text)
+				if err != nil {
+					t.Fatal(err)
+				}
+				sentAt -= before
+				continue
+			}
+			l := s.prompt(p)
+			l.SentAt = sentAt
+			lost = append(lost, l)
 		}
 		server, version, _ := strings.Cut(f[2], "@")
 		s.router(f[1]).ReportCrash(s.now, ServerKey(server, 0), NewRelease("service", version), lost)
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -94,7 +94,7 @@
 		x.Quarantine.RequestAnswered(server, x.sentAt, x.identity)
 	case failure != nil && failure.connectionBroke && ctx.Err() == nil:
 		failure.mayCrashServers = x.Quarantine.IsSuspect(server, x.identity)
-		x.Quarantine.RequestLost(server, quarantiner.LostRequest{Request: x.identity, Begun: resp != nil})
+		x.Quarantine.RequestLost(server, quarantiner.LostRequest{Request: x.identity, SentAt: x.sentAt, Begun: resp != nil})
 	}
 }
 
