Heed servers that leave or ask for a pause on the product's own path

Behind the product's own interface nothing was kept of what servers say of themselves but limits: in 2 s a leaving engine and service got 1,321 and 1,325 requests, and ones that asked for a pause 3,899 and 3,168.

A server that says it is leaving gets a tombstone of the incarnation that was listed when the request was sent, which routers tell each other already. A pause goes to the server's owner, which grants nothing until its end and 16 requests in the second after it.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -270,10 +270,15 @@
 
 func newForwarder(n *node) *forwarder.Forwarder { return &forwarder.Forwarder{Dial: n.options.Dial} }
 
-func newDispatcher(n *node, in *installer.Installer, s *scheduler.Scheduler, f *forwarder.Forwarder, c *claimer.Claimer) *dispatcher.Dispatcher {
+func newDispatcher(
+	n *node, in *installer.Installer, t *tracker.Tracker, s *scheduler.Scheduler, f *forwarder.Forwarder, c *claimer.Claimer,
+) *dispatcher.Dispatcher {
 	d := &dispatcher.Dispatcher{
 		Config: in.Config, Forwarder: f, Claimer: c, Log: n.log,
-		Slots: dispatcher.SlotAllocator{Acquire: s.Acquire, Release: s.Release, ReportLimit: s.ReportLimit},
+		Slots: dispatcher.SlotAllocator{
+			Acquire: s.Acquire, Release: s.Release, ReportLimit: s.ReportLimit, ReportPause: s.ReportPause,
+			ReportLeaving: t.MarkLeaving, Incarnation: t.Incarnation,
+		},
 	}
 	if n.options.Baseline {
 		d.Claimer = nil
--- a/internal/demonstrator/demonstrator_test.go
+++ b/internal/demonstrator/demonstrator_test.go
@@ -152,28 +152,7 @@
 	for _, s := range d.Cluster.Services {
 		s.SetFault(emulator.Fault{LimitPerSecond: &limit})
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	var wg sync.WaitGroup
-	for i, m := range d.Members {
-		for range 8 {
-			wg.Go(func() {
-				for n := 0; ctx.Err() == nil; n++ {
-					path, body := "/v1/completions", `{"model":"papaya-chat","max_tokens":3,"user":"v"}`
-					if n%2 == 0 {
-						path, body = "/services/booking/visits", fmt.Sprint(i, n)
-					}
-					req, err := http.NewRequestWithContext(ctx, http.MethodPost, m.URL()+path, strings.NewReader(body))
-					c.Check(err, qt.IsNil)
-					req.Header.Set("Authorization", "Bearer "+demonstrator.APIKey("solar-quotes"))
-					// Whether a request is served or refused does not matter.
-					if resp, err := http.DefaultClient.Do(req); err == nil {
-						resp.Body.Close()
-					}
-				}
-			})
-		}
-	}
+	stop := callAll(c, d)
 	counts := func() map[string]int64 {
 		out := map[string]int64{}
 		for _, e := range d.Cluster.Engines {
@@ -196,6 +175,86 @@
 		served += n - before[name]
 	}
 	c.Check(served > 0, qt.IsTrue)
-	cancel()
-	wg.Wait()
+	stop()
+}
+
+// callAll lets callers of all routers send requests to engines and services until stop is called.
+func callAll(c *qt.C, d *demonstrator.Deployment) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i, m := range d.Members {
+		for range 8 {
+			wg.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					path, body := "/v1/completions", `{"model":"papaya-chat","max_tokens":3,"user":"v"}`
+					if n%2 == 0 {
+						path, body = "/services/booking/visits", fmt.Sprint(i, n)
+					}
+					req, err := http.NewRequestWithContext(ctx, http.MethodPost, m.URL()+path, strings.NewReader(body))
+					c.Check(err, qt.IsNil)
+					req.Header.Set("Authorization", "Bearer "+demonstrator.APIKey("solar-quotes"))
+					// Whether a request is served or refused does not matter.
+					if resp, err := http.DefaultClient.Do(req); err == nil {
+						resp.Body.Close()
+					}
+				}
+			})
+		}
+	}
+	return sync.OnceFunc(func() {
+		cancel()
+		wg.Wait()
+	})
+}
+
+// TestServersThatLeaveOrPauseGetRequests guards against requests to servers that say in their answers that they are shutting
+// down, or that want a pause, while the platform's list shows them as live.
+func TestServersThatLeaveOrPauseGetRequests(t *testing.T) {
+	const (
+		pause = 4 * time.Second
+		// grace is how long requests may still arrive that were sent before the routers knew.
+		grace = 500 * time.Millisecond
+		// allowed is what the users allow during a pause.
+		allowed = 2
+	)
+	for _, tt := range []struct {
+		name    string
+		fault   emulator.Fault
+		returns bool
+	}{
+		{"leaving", emulator.Fault{Leaving: true}, false},
+		{"pause", emulator.Fault{PauseSeconds: pause.Seconds()}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := startDeployment(c, 2)
+			stop := callAll(c, d)
+			defer stop()
+			engine, service := d.Cluster.Engines[0], d.Cluster.Services[0]
+			received := func() [2]int64 { return [2]int64{engine.Received(), service.Received()} }
+			others := func() int64 { return d.Cluster.Engines[1].Received() + d.Cluster.Services[1].Received() }
+			// Both get requests before.
+			for r := received(); r[0] < 10 || r[1] < 10; r = received() {
+				<-time.After(10 * time.Millisecond)
+			}
+			engine.SetFault(tt.fault)
+			service.SetFault(tt.fault)
+			<-time.After(grace)
+			before, othersBefore := received(), others()
+			<-time.After(pause / 2)
+			for i, n := range received() {
+				c.Check(n-before[i] <= allowed, qt.IsTrue, qt.Commentf("%d requests reached server %d", n-before[i], i))
+			}
+			c.Check(others() > othersBefore, qt.IsTrue)
+			if !tt.returns {
+				return
+			}
+			engine.SetFault(emulator.Fault{})
+			service.SetFault(emulator.Fault{})
+			<-time.After(pause)
+			for i, n := range received() {
+				c.Check(n-before[i] > allowed, qt.IsTrue, qt.Commentf("server %d gets no requests after its pause", i))
+			}
+		})
+	}
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -115,9 +115,13 @@
 type SlotAllocator struct {
 	Acquire func(context.Context, scheduler.Request) (scheduler.Slot, error)
 	Release func(scheduler.Slot, encoder.Release)
-	// ReportLimit is called with what each answer says about the limit of its server, in requests a second. It
-	// may be nil.
+	// ReportLimit is called with what each answer says about the limit of its server, in requests a second.
 	ReportLimit func(slot scheduler.Slot, perSecond float64, named bool)
+	// ReportPause is called with each pause that a server asks for, and ReportLeaving with each incarnation of a server that
+	// says that it is shutting down. Incarnation returns the one that is listed when a request is sent. All may be nil.
+	ReportPause   func(slot scheduler.Slot, pause time.Duration)
+	ReportLeaving func(server string, incarnation uint64)
+	Incarnation   func(server string) uint64
 }
 
 // Dispatcher dispatches requests. Config, Slots and Forwarder must be set.
@@ -288,14 +292,28 @@
 		ID: c.ID, Method: c.Method, Path: c.Path, Header: c.Header, Body: c.Body, Idempotent: c.isIdempotent(),
 	}
 	if c.d.Slots.ReportLimit != nil {
-		req.OnHeader = func(h http.Header) {
-			perSecond, named := forwarder.DecodeLimit(h)
-			c.d.Slots.ReportLimit(slot, perSecond, named)
-		}
+		// The answer of an incarnation says nothing of the next one.
+		incarnation := c.d.Slots.Incarnation(slot.Server)
+		req.OnHeader = func(status int, h http.Header) { c.reportNotices(slot, incarnation, status, h) }
 	}
 	return req
 }
 
+// reportNotices reports what a response says of its server.
+func (c *call) reportNotices(slot scheduler.Slot, incarnation uint64, status int, h http.Header) {
+	perSecond, named := forwarder.DecodeLimit(h)
+	c.d.Slots.ReportLimit(slot, perSecond, named)
+	notice := forwarder.DecodeNotice(status, h)
+	if notice.Leaving {
+		c.d.log("server-leaving", "server", slot.Server, "incarnation", incarnation, "request", c.ID)
+		c.d.Slots.ReportLeaving(slot.Server, incarnation)
+	}
+	if notice.Pause > 0 {
+		c.d.log("server-pause", "server", slot.Server, "pause-ms", notice.Pause.Milliseconds(), "request", c.ID)
+		c.d.Slots.ReportPause(slot, notice.Pause)
+	}
+}
+
 // releaseSlot releases the slot and reports the cost and result of the attempt to its owner.
 func (c *call) releaseSlot(slot scheduler.Slot, err error, cost float64, stats forwarder.StreamStats) {
 	kind := failer.KindOf[forwarder.Kind](err)
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -116,6 +116,9 @@
 // SetFault sets the fault to inject.
 func (e *Engine) SetFault(f Fault) { e.faultInjector.Set(f) }
 
+// Received returns the number of calls that arrived, also those that were refused.
+func (e *Engine) Received() int64 { return e.faultInjector.received.Load() }
+
 // Stats returns the current counters.
 func (e *Engine) Stats() EngineStats {
 	e.mu.Lock()
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"papayapaddle/internal/forwarder"
@@ -33,6 +34,10 @@
 	// LimitPerSecond is the limit that the system names in its responses, in requests a second. It serves all
 	// calls nevertheless.
 	LimitPerSecond *float64 `json:"limit-per-second,omitempty"`
+	// Leaving makes the system say in its responses that it is shutting down. It serves all calls nevertheless.
+	Leaving bool `json:"leaving,omitempty"`
+	// PauseSeconds makes the system refuse all calls and ask for a pause.
+	PauseSeconds float64 `json:"pause-seconds,omitempty"`
 }
 
 // crashDowntime is how long a system that crashed aborts all calls.
@@ -41,6 +46,8 @@
 // faultInjector wraps a handler and injects faults.
 type faultInjector struct {
 	next http.Handler
+	// received counts the calls that arrived, also those that are refused or aborted.
+	received atomic.Int64
 
 	mu               sync.Mutex
 	fault            Fault
@@ -101,6 +108,7 @@
 		f.serveSetFault(w, r)
 		return
 	}
+	f.received.Add(1)
 	decision := f.decide()
 	if decision.fault.Down {
 		panic(http.ErrAbortHandler)
@@ -108,6 +116,14 @@
 	if l := decision.fault.LimitPerSecond; l != nil {
 		w.Header().Set(forwarder.LimitHeader, strconv.FormatFloat(*l, 'f', -1, 64))
 	}
+	if decision.fault.Leaving {
+		w.Header().Set(forwarder.LeavingHeader, "1")
+	}
+	if pause := decision.fault.PauseSeconds; pause > 0 {
+		w.Header().Set(forwarder.PauseHeader, strconv.FormatFloat(pause, 'f', -1, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if text := decision.fault.CrashText; text != "" {
 		body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 		if err != nil {
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -68,6 +68,9 @@
 // SetFault sets the fault to inject.
 func (s *Service) SetFault(f Fault) { s.faultInjector.Set(f) }
 
+// Received returns the number of calls that arrived, also those that were refused.
+func (s *Service) Received() int64 { return s.faultInjector.received.Load() }
+
 // serviceResponse is the body of a response.
 type serviceResponse struct {
 	Run  int    `json:"run"`
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -72,6 +72,8 @@
 	Tombstones    []ServerTombstone `msgpack:"l,omitempty"`
 	// ServerLimits are limits that backend servers name, for their owner.
 	ServerLimits []ServerLimit `msgpack:"m,omitempty"`
+	// ServerPauses are pauses that backend servers ask for, for their owner.
+	ServerPauses []ServerPause `msgpack:"p,omitempty"`
 	// WantChanges requests the configuration changes after ConfigVersion.
 	WantChanges bool `msgpack:"w,omitempty"`
 	// Changes are JSON-encoded configuration changes.
@@ -114,6 +116,14 @@
 	PerSecondMilli uint32
 }
 
+// ServerPause is a pause that a backend server asks for in a refusal.
+type ServerPause struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Server   uint32
+	// Millis is the rest of the pause in milliseconds.
+	Millis uint32
+}
+
 // Release returns a slot to its owner and reports the cost of the request.
 type Release struct {
 	_msgpack struct{} `msgpack:",as_array"`
@@ -211,7 +221,7 @@
 // Validate returns an error if a value of the message is out of range.
 func (m *Message) Validate() error {
 	longest := max(len(m.Registrations), len(m.Releases), len(m.Offers), len(m.HeldSlots),
-		len(m.Reports), len(m.Accounts), len(m.IdleSlots), len(m.Tombstones), len(m.Changes), len(m.ServerLimits))
+		len(m.Reports), len(m.Accounts), len(m.IdleSlots), len(m.Tombstones), len(m.Changes), len(m.ServerLimits), len(m.ServerPauses))
 	if longest > MaxListItems {
 		return failer.New("check message", KindInvalid, fmt.Sprintf("a list of %d items, at most %d are allowed", longest, MaxListItems))
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -82,6 +82,35 @@
 	return perSecond, named
 }
 
+// LeavingHeader is the response header in which a server says, with the value 1, that it is shutting down. A server that
+// refuses a request with status 503 asks for a pause in PauseHeader, in seconds.
+const (
+	LeavingHeader = "X-Server-Leaving"
+	PauseHeader   = "Retry-After"
+)
+
+// maxPauseSeconds limits the pause that a server may ask for, so that no answer takes it out for good.
+const maxPauseSeconds = 300
+
+// ServerNotice is what a response says of its server.
+type ServerNotice struct {
+	// Leaving says that the server is shutting down.
+	Leaving bool
+	// Pause is how long the server wants no requests, or 0.
+	Pause time.Duration
+}
+
+// DecodeNotice decodes the notice of a response. A pause that is no number of seconds from 0 on is ignored.
+func DecodeNotice(status int, h http.Header) ServerNotice {
+	n := ServerNotice{Leaving: h.Get(LeavingHeader) == "1"}
+	if status == http.StatusServiceUnavailable {
+		if seconds, err := strconv.ParseFloat(h.Get(PauseHeader), 64); err == nil && seconds > 0 {
+			n.Pause = time.Duration(min(seconds, maxPauseSeconds) * float64(time.Second))
+		}
+	}
+	return n
+}
+
 // Server is a backend server.
 type Server struct {
 	Name    string
@@ -102,8 +131,8 @@
 	// BeforeSend, if not nil, is called for a non-idempotent request once its connection is
 	// open. If it returns an error, the request is not sent.
 	BeforeSend func(ctx context.Context) error
-	// OnHeader, if not nil, is called for the header of each response to the request.
-	OnHeader func(http.Header)
+	// OnHeader, if not nil, is called for the status and header of each response to the request.
+	OnHeader func(status int, h http.Header)
 }
 
 // Response is a complete response.
@@ -301,7 +330,7 @@
 		return failer.New("forward", KindResponseMismatch, "the server answered request "+strconv.Quote(responseID))
 	}
 	if req.OnHeader != nil {
-		req.OnHeader(resp.Header)
+		req.OnHeader(resp.StatusCode, resp.Header)
 	}
 	if slices.Contains(s.NotRunStatuses, resp.StatusCode) {
 		return failer.New("forward", KindRefused, "status "+resp.Status)
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -107,6 +107,7 @@
 	// suspension is the length of the current suspension.
 	suspension time.Duration
 	pace       pace
+	pause      pause
 }
 
 // Server describes an owned backend server.
@@ -346,7 +347,7 @@
 // freeSlots returns the number of slots that can be granted now. includeBurst is 1 to include the
 // burst slots and otherwise 0.
 func (s *server) freeSlots(now time.Time, includeBurst int) int {
-	if s.leaving || now.Before(s.readyAt) || now.Before(s.suspendedUntil) || !s.mayGrant(now) {
+	if s.leaving || now.Before(s.readyAt) || now.Before(s.suspendedUntil) || !s.mayGrant(now) || !s.pause.mayGrant(now) {
 		return 0
 	}
 	n := int(s.limit) + includeBurst*s.burstSlots - len(s.heldSlots)
@@ -354,7 +355,7 @@
 		// After a suspension, one request at a time probes whether the server has recovered.
 		n = min(n, 1-len(s.heldSlots))
 	}
-	if s.isLimited(now) {
+	if s.isLimited(now) || s.pause.isReturning(now) {
 		n = min(n, 1)
 	}
 	return max(0, n)
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -176,3 +176,33 @@
 	now = now.Add(limitTTL)
 	c.Assert(run() > 10*perSecond*seconds, qt.IsTrue)
 }
+
+// TestServerGetsRequestsDuringPause guards against grants while a server wants a pause, against all that waited at its end, and
+// against a pause that never ends.
+func TestServerGetsRequestsDuringPause(t *testing.T) {
+	c := qt.New(t)
+	g := newTestGranter(map[Account]float64{})
+	now := time.Unix(1000, 0)
+	g.SetServers(now, []Server{{ID: 1, Pool: testPool, Slots: 100}}, now)
+	k := Account{Pool: testPool, Workspace: 1}
+	run := func(d time.Duration) (granted int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(10 * time.Millisecond) {
+			g.Register("a", k, Registration{Count: 50, Arrived: now, Cost: 10})
+			for _, grant := range g.Schedule(now) {
+				granted++
+				g.Release(now, "a", encoder.Release{Ticket: grant.Offer.Ticket, Cost: 10})
+			}
+		}
+		return granted
+	}
+	c.Assert(run(time.Second) > 10*returnsPerSecond, qt.IsTrue)
+	g.Pause(now, 1, 3*time.Second)
+	g.Pause(now, 1, time.Second)
+	c.Assert(run(3*time.Second), qt.Equals, 0)
+	granted := run(returnTime)
+	c.Assert(granted > 0 && granted <= returnsPerSecond+1, qt.IsTrue, qt.Commentf("%d grants", granted))
+	c.Assert(run(time.Second) > 10*returnsPerSecond, qt.IsTrue)
+	g.Pause(now, 1, 365*24*time.Hour)
+	now = now.Add(maxPause + returnTime)
+	c.Assert(run(time.Second) > 10*returnsPerSecond, qt.IsTrue)
+}
--- a/internal/granter/selection.go
+++ b/internal/granter/selection.go
@@ -61,6 +61,7 @@
 	h.grantCharge = h.charged
 	s.heldSlots[ticketKey{router: router, ticket: g.LastTicket}] = h
 	s.recordGrant(now)
+	s.pause.recordGrant(now)
 	g.Accounts.Charge(now, k, h.charged)
 	reg.Count--
 	g.Register(router, k, reg)
--- a/internal/scheduler/messages.go
+++ b/internal/scheduler/messages.go
@@ -76,6 +76,9 @@
 	for _, l := range m.ServerLimits {
 		c.granter.SetLimit(now, l.Server, float64(l.PerSecondMilli)/1000, l.Named)
 	}
+	for _, p := range m.ServerPauses {
+		c.granter.Pause(now, p.Server, time.Duration(p.Millis)*time.Millisecond)
+	}
 	for _, r := range m.Registrations {
 		c.granter.Register(router, Key{Pool: r.Pool, Workspace: r.Workspace}, granter.Registration{
 			Count:   int(r.Count),
--- a/internal/scheduler/release.go
+++ b/internal/scheduler/release.go
@@ -63,3 +63,19 @@
 		c.requestSend(p, now)
 	}
 }
+
+// ReportPause tells the owner of a server that the server wants no requests for a duration.
+func (c *Core) ReportPause(now time.Time, id uint32, d time.Duration) {
+	c.init()
+	switch owner := c.servers[id].owner; owner {
+	case "":
+	case c.Name:
+		c.granter.Pause(now, id, d)
+	default:
+		p := c.peer(owner)
+		p.outbox.ServerPauses = append(p.outbox.ServerPauses, encoder.ServerPause{
+			Server: id, Millis: uint32(min(d.Milliseconds(), math.MaxUint32)),
+		})
+		c.requestSend(p, now)
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -173,6 +173,11 @@
 	s.update(func(now time.Time, c *Core) { c.ReleaseSlot(now, slot.ID, r) })
 }
 
+// ReportPause tells the owner of a slot's server that the server wants no requests for a duration.
+func (s *Scheduler) ReportPause(slot Slot, d time.Duration) {
+	s.update(func(now time.Time, c *Core) { c.ReportPause(now, slot.ID.Server, d) })
+}
+
 // ReportLimit tells the owner of a slot's server about its limit; see Core.ReportLimit.
 func (s *Scheduler) ReportLimit(slot Slot, perSecond float64, named bool) {
 	s.update(func(now time.Time, c *Core) { c.ReportLimit(now, slot.ID.Server, perSecond, named) })
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -169,6 +169,23 @@
 	t.publishView()
 }
 
+// MarkLeaving records that an incarnation of a backend server has said itself that it is shutting down.
+func (t *Tracker) MarkLeaving(server string, incarnation uint64) {
+	t.AddTombstones([]encoder.ServerTombstone{{Server: placer.ID(server), Incarnation: incarnation}})
+}
+
+// Incarnation returns the listed incarnation of a backend server, 0 if it is not listed.
+func (t *Tracker) Incarnation(server string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, instance := range t.list.Instances {
+		if instance.Role == connector.RoleBackendServer && instance.Name == server {
+			return instance.Incarnation
+		}
+	}
+	return 0
+}
+
 // Tombstones returns all tombstones. They are sent to a peer that was disconnected and may have
 // missed some.
 func (t *Tracker) Tombstones() []encoder.ServerTombstone {
