Ask for the settled era only where an answer proves nothing

It asks after a first answer that proves nothing, once in an era, and reads again at once if it is settled. The configuration's row is logged once for each answer, not for each change.

--- a/internal/watcher/era.go
+++ b/internal/watcher/era.go
@@ -18,8 +18,9 @@
 	// written before the era.
 	learnedAt  time.Duration
 	provesFrom time.Duration
-	// settled is set once there was such an answer.
+	// settled is set once there was such an answer, and asked once the store was asked for the settled era.
 	settled bool
+	asked   bool
 }
 
 // acceptEra processes the era of an answer to a request that was sent at a time on the boot clock. It returns false if
@@ -55,6 +56,7 @@
 	restored := w.eras.known && era > w.eras.era
 	now := w.Now()
 	w.eras.known, w.eras.era, w.eras.learnedAt, w.eras.settled = true, era, now, false
+	w.eras.asked = false
 	// A store that names no era was never restored.
 	if w.eras.provesFrom = now; era > 0 {
 		w.eras.provesFrom += rewriteTime
@@ -99,31 +101,35 @@
 	w.settle("row")
 }
 
-// readSettledEra asks the store, unless this router knows, whether the operators have had the time to write again.
-func (w *Watcher) readSettledEra(ctx context.Context) {
-	if w.ReadSettledEra == nil || w.isSettled() {
-		return
+// readSettledEra asks the store, once in an era, whether the operators have had the time to write again before this router
+// learned of the era. It reports whether they have: answers to requests that are sent from now on prove configurations.
+func (w *Watcher) readSettledEra(ctx context.Context) bool {
+	w.eras.mu.Lock()
+	skip := w.ReadSettledEra == nil || w.eras.settled || w.eras.asked
+	w.eras.mu.Unlock()
+	if skip {
+		return false
 	}
 	requestedAt := w.Now()
 	settled, era, err := w.ReadSettledEra(ctx)
 	if err != nil {
 		w.Log("settled-era-not-read", "err", err)
-		return
+		return false
 	}
-	if !w.acceptEra(era, requestedAt) || settled != era {
-		return
+	if !w.acceptEra(era, requestedAt) {
+		return false
 	}
 	w.eras.mu.Lock()
 	defer w.eras.mu.Unlock()
-	if w.eras.era == era {
-		w.eras.provesFrom, w.eras.settled = min(w.eras.provesFrom, w.Now()), true
+	if era != w.eras.era || w.eras.settled {
+		return false
 	}
-}
-
-func (w *Watcher) isSettled() bool {
-	w.eras.mu.Lock()
-	defer w.eras.mu.Unlock()
-	return w.eras.settled
+	w.eras.asked = true
+	if settled != era {
+		return false
+	}
+	w.eras.provesFrom, w.eras.settled = min(w.eras.provesFrom, w.Now()), true
+	return true
 }
 
 // storedConfig is the configuration that the store held when it was last read.
--- a/internal/watcher/model_test.go
+++ b/internal/watcher/model_test.go
@@ -149,9 +149,6 @@
 		if s.storeRequests[router] != nil {
 			return false
 		}
-		if !self.configState.loaded {
-			self.readSettledEra(context.Background())
-		}
 		q := &modelRequest{sentAt: s.now, batch: self.newBatch(&self.configState)}
 		q.batch.position = self.configState.next
 		s.storeRequests[router] = q
@@ -169,7 +166,9 @@
 		if q.gone {
 			self.configState.loaded = false
 		} else {
-			self.handleAnswer("configuration", &self.configState, q.batch, self.applyConfig)
+			if self.handleAnswer("configuration", &self.configState, q.batch, self.applyConfig) == answerUnproven {
+				self.readSettledEra(context.Background())
+			}
 		}
 		s.storeRequests[router] = nil
 	case stepQueryPeer:
@@ -247,8 +246,11 @@
 func (m *modelSearch) replay(path []int) *modelState {
 	state := newModelState()
 	for r := range state.routers {
-		for _, step := range []int{stepQueryStore, stepStoreAnswers, stepReceiveStoreAnswer} {
-			state.apply(step, r)
+		// The first answer shows the era, and the second one confirms.
+		for range 2 {
+			for _, step := range []int{stepQueryStore, stepStoreAnswers, stepReceiveStoreAnswer} {
+				state.apply(step, r)
+			}
 		}
 	}
 	for _, step := range append(m.prefix[:len(m.prefix):len(m.prefix)], path...) {
--- a/internal/watcher/outage_test.go
+++ b/internal/watcher/outage_test.go
@@ -46,6 +46,10 @@
 					Now:            func() time.Duration { return time.Hour + time.Since(start) },
 					ReadStoreAfter: func() time.Duration { return time.Second },
 					MaxBackoff:     func() time.Duration { return tt.maxBackoff },
+					ReadSettledEra: func(context.Context) (uint64, uint64, error) {
+						_, _, err := fail()
+						return 0, 0, err
+					},
 				})
 				ctx, cancel := context.WithTimeout(t.Context(), outage)
 				defer cancel()
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -349,9 +349,6 @@
 	storeLost := false
 	w.waitForPeers(ctx, state)
 	for ctx.Err() == nil {
-		if state == &w.configState && !state.loaded {
-			w.readSettledEra(ctx)
-		}
 		b, err := w.readTable(ctx, t, state)
 		if err == nil {
 			backoff = minBackoff
@@ -362,6 +359,9 @@
 				pauser.Sleep(ctx, minBackoff)
 				continue
 			case answerUnproven:
+				if w.readSettledEra(ctx) {
+					continue
+				}
 				pauser.Sleep(ctx, max(w.ReadStoreAfter(), minBackoff))
 			case answerUnreadable:
 				// A corrected row may follow soon.
@@ -500,23 +500,25 @@
 	if b.fullTable {
 		w.stored = storedConfig{}
 	}
+	inForce := w.ConfigVersion()
 	for _, r := range b.rows {
 		if r.Key != w.ConfigKey || r.Deleted {
 			continue
 		}
-		inForce := w.ConfigVersion()
-		c, version, err := w.install(r.Value, "store")
+		_, version, err := w.install(r.Value, "store")
 		if err != nil {
 			w.Log("config-unreadable", "err", err)
 			return answerUnreadable
 		}
-		w.Log("config-read", "version", version, "was", inForce, "in-force", c.Version, "row-version", r.Version)
 		w.stored = storedConfig{row: Position{Era: b.position.Era, Version: r.Version}, version: version}
 		if w.stored.rewrittenSince(before) {
 			w.settleByRow(b.position.Era, b.requestedAt)
 		}
 		before = w.stored
 	}
+	if len(b.rows) > 0 {
+		w.Log("config-read", "version", w.stored.version, "row", w.stored.row, "was", inForce, "in-force", w.ConfigVersion())
+	}
 	// A restored store that holds an older configuration than the one in force shows that it lost some.
 	if w.stored.version < w.ConfigVersion() || !w.proves(b.position.Era, b.requestedAt) {
 		return answerUnproven
