--- a/internal/messenger/benchmark_test.go
+++ b/internal/messenger/benchmark_test.go
@@ -41,7 +41,7 @@
 			Name: "edge-graz-a-12", Address: "10.1.0.36:7400", AvailabilityZone: "graz-a", Incarnation: 1 << 56,
 		},
 		Version:   19,
-		ProvenAgo: 300 * time.Millisecond, ServersChanged: 4000, ServersAgo: 300 * time.Millisecond,
+		ProvenAgo: 300 * time.Millisecond, ServersChanged: 4000, StoreEra: 2, KnowsEras: true, ServersAgo: 300 * time.Millisecond,
 		Contact: time.Minute,
 		Grants:  Grants{Tokens: map[string]uint{}, Till: 12345}, GrantsSeen: 12345,
 	}
