Keep what the store held before a configuration that cannot be decoded

After a whole read whose configuration cannot be decoded no answer proved anything any more, until a readable one was written: keys were refused by a router that had served them. What was read before holds, as it did.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -508,6 +508,7 @@
 		_, version, err := w.install(r.Value, "store")
 		if err != nil {
 			w.Log("config-unreadable", "err", err)
+			w.stored = before
 			return answerUnreadable
 		}
 		w.stored = storedConfig{row: Position{Era: b.position.Era, Version: r.Version}, version: version}
