--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -375,41 +375,6 @@
 	q.update(now)
 }
 
-// recentParts remembers the parts that were answered last, at most maxRecentParts to twice as many. The
-// zero value is empty.
-type recentParts struct {
-	mu sync.Mutex
-	// newest takes new parts until it is full and becomes older.
-	newest, older map[uint64]struct{}
-}
-
-// maxRecentParts is the size of one of the two generations of recentParts.
-const maxRecentParts = 4096
-
-func (r *recentParts) add(parts []uint64) {
-	if len(parts) == 0 {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.newest == nil || len(r.newest) >= maxRecentParts {
-		r.newest, r.older = map[uint64]struct{}{}, r.newest
-	}
-	for _, part := range parts[:min(len(parts), maxRecentParts)] {
-		r.newest[part] = struct{}{}
-	}
-}
-
-func (r *recentParts) contains(part uint64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if _, ok := r.newest[part]; ok {
-		return true
-	}
-	_, ok := r.older[part]
-	return ok
-}
-
 // Check reports whether a request must not be sent to servers, and because of which verdict. It permits a
 // test of one whose quarantine time is over to one request at a time; test is then true.
 func (q *Quarantiner) Check(now time.Duration, req Request) (v Verdict, refused, test bool) {
--- a/internal/watcher/era.go
+++ b/internal/watcher/era.go
@@ -131,22 +131,3 @@
 	w.eras.provesFrom, w.eras.settled = min(w.eras.provesFrom, w.Now()), true
 	return true
 }
-
-// storedConfig is the configuration that the store held when it was last read.
-type storedConfig struct {
-	// row is the position of the row's last change, with the era in which the row was read. It is zero if there is none.
-	row     Position
-	version uint64
-}
-
-// rewrittenSince reports whether the row was certainly written after the store was restored, if it was read in an earlier era
-// before. Versions of configurations and of their rows only rise within an era.
-func (s storedConfig) rewrittenSince(before storedConfig) bool {
-	if before.version == 0 || s.version < before.version {
-		return false
-	}
-	if s.row.Era == before.row.Era || s.version == before.version {
-		return s.row.Version != before.row.Version
-	}
-	return s.row.Version <= before.row.Version
-}
