Confirm at once by a store that names no era

A router beside such a store took its first answer for unproven, asked for the settled era and read again: two calls more at each start. TestStoreWithoutErasConfirmsAtOnce failed before.

--- a/internal/watcher/era.go
+++ b/internal/watcher/era.go
@@ -55,11 +55,11 @@
 	w.Log("store-era", "era", era, "was", w.eras.era, "known", w.eras.known, "from", source)
 	restored := w.eras.known && era > w.eras.era
 	now := w.Now()
-	w.eras.known, w.eras.era, w.eras.learnedAt, w.eras.settled = true, era, now, false
-	w.eras.asked = false
-	// A store that names no era was never restored.
-	if w.eras.provesFrom = now; era > 0 {
-		w.eras.provesFrom += rewriteTime
+	w.eras.known, w.eras.era, w.eras.learnedAt = true, era, now
+	w.eras.provesFrom, w.eras.settled, w.eras.asked = now+rewriteTime, false, false
+	if era == 0 {
+		// A store that names no era was never restored.
+		w.eras.provesFrom = 0
 	}
 	if w.OnEra != nil {
 		w.OnEra(era, restored)
--- a/internal/watcher/restoration_test.go
+++ b/internal/watcher/restoration_test.go
@@ -321,3 +321,10 @@
 		}
 	})
 }
+
+// Guards against a store that names no era and whose first answer is not taken for a confirmation.
+func TestStoreWithoutErasConfirmsAtOnce(t *testing.T) {
+	h := newHarness()
+	b := batch{rows: parseRows(t, "config version=1 at=3"), fullTable: true, position: Position{Version: 3}, requestedAt: h.now - time.Second}
+	qt.Assert(t, h.w.handleAnswer("configuration", &h.w.configState, b, h.w.applyConfig), qt.Equals, answerConfirms)
+}
