Let overlapping restores of the stand-in's store lose nothing for good

After two restores in a row the rows that the first one had lost were written again and hid what the second one had lost, so that a key of the soak could have stayed unknown to the store. What was lost first is the newest, and is written once.

--- a/internal/conductor/restoration_test.go
+++ b/internal/conductor/restoration_test.go
@@ -119,6 +119,7 @@
 		return len(routers) == 2 && len(verdicts.Evidence) == 1 && settled == era
 	}
 	eventually(c, "the routers have written their rows", written)
-	f.cluster.RestoreStore(copied, 0)
+	f.cluster.Store.Restore(copied)
+	f.cluster.Store.WriteAgain()
 	eventually(c, "the routers have written their rows again", written)
 }
--- a/internal/soaker/faults_test.go
+++ b/internal/soaker/faults_test.go
@@ -122,8 +122,9 @@
 	s.markDisturbed(duration + delay)
 	s.cluster.Store.SetDown(true)
 	schedule(duration, func() {
-		s.cluster.RestoreStore(copied, delay)
+		s.cluster.Store.Restore(copied)
 		s.cluster.Store.SetDown(false)
+		schedule(delay, s.cluster.Store.WriteAgain)
 	})
 }
 
