Share the bounds of a pause between both paths, and log unreadable ones

The product's own path had copies of the longest pause and of the return after it, and ignored a pause that it could not read without a line. Both use excluder's; the names of the test's bounds follow, with the same values. Nothing of the users' platform changes.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -115,10 +115,12 @@
 type SlotAllocator struct {
 	Acquire func(context.Context, scheduler.Request) (scheduler.Slot, error)
 	Release func(scheduler.Slot, encoder.Release)
-	// ReportLimit is called with what each answer says about the limit of its server, in requests a second.
+	// ReportLimit is called with what each answer says about the limit of its server, in requests a second. It
+	// may be nil.
 	ReportLimit func(slot scheduler.Slot, perSecond float64, named bool)
 	// ReportPause is called with each pause that a server asks for, and ReportLeaving with each incarnation of a server that
-	// says that it is shutting down. Incarnation returns the one that is listed when a request is sent. All may be nil.
+	// says that it is shutting down. Incarnation returns the one that is listed when a request is sent. All three may be nil if
+	// ReportLimit is.
 	ReportPause   func(slot scheduler.Slot, pause time.Duration)
 	ReportLeaving func(server string, incarnation uint64)
 	Incarnation   func(server string) uint64
@@ -308,6 +310,9 @@
 		c.d.log("server-leaving", "server", slot.Server, "incarnation", incarnation, "request", c.ID)
 		c.d.Slots.ReportLeaving(slot.Server, incarnation)
 	}
+	if notice.UnreadablePause != "" {
+		c.d.log("server-pause-unreadable", "server", slot.Server, "value", notice.UnreadablePause, "request", c.ID)
+	}
 	if notice.Pause > 0 {
 		c.d.log("server-pause", "server", slot.Server, "pause-ms", notice.Pause.Milliseconds(), "request", c.ID)
 		c.d.Slots.ReportPause(slot, notice.Pause)
--- a/internal/excluder/excluder.go
+++ b/internal/excluder/excluder.go
@@ -15,10 +15,10 @@
 const (
 	// MaxPause limits the pause that a server may ask for, so that no answer takes it out for good.
 	MaxPause = 5 * time.Minute
-	// After a pause, returnRequests requests are let through within returnTime, evenly spread, so that
+	// After a pause, ReturnRequests requests are let through within ReturnTime, evenly spread, so that
 	// not all that waited arrive at the same moment.
-	returnTime     = time.Second
-	returnRequests = 16
+	ReturnTime     = time.Second
+	ReturnRequests = 16
 	// unlistedTTL is how long a server that is shutting down is remembered after it is no longer listed,
 	// so that an older entry does not bring it back.
 	unlistedTTL = 10 * time.Minute
@@ -139,15 +139,15 @@
 
 // allowed returns how many requests may have been sent at a time after the end of a pause.
 func allowed(sinceEnd time.Duration) int64 {
-	if sinceEnd >= returnTime {
+	if sinceEnd >= ReturnTime {
 		return 1<<63 - 1
 	}
-	return 1 + int64(returnRequests*sinceEnd/returnTime)
+	return 1 + int64(ReturnRequests*sinceEnd/ReturnTime)
 }
 
 // nextReturn returns when the next request may be sent.
 func (x exclusion) nextReturn() time.Duration {
-	return x.pausedUntil + min(returnTime, time.Duration(x.sent.Load())*returnTime/returnRequests)
+	return x.pausedUntil + min(ReturnTime, time.Duration(x.sent.Load())*ReturnTime/ReturnRequests)
 }
 
 // Send returns the same as Check just before a request is sent, and counts the request if it may be.
@@ -178,7 +178,7 @@
 				x.unlistedSince = now
 			}
 			gone := x.unlistedSince > 0 && now-x.unlistedSince > unlistedTTL
-			if (gone || !x.leaving) && now >= x.pausedUntil+returnTime {
+			if (gone || !x.leaving) && now >= x.pausedUntil+ReturnTime {
 				delete(servers, s)
 				continue
 			}
--- a/internal/excluder/excluder_test.go
+++ b/internal/excluder/excluder_test.go
@@ -87,7 +87,7 @@
 				if cause == "" && now < pausedUntil[s] {
 					rt.Fatalf("a request %v before the end of the pause", pausedUntil[s]-now)
 				}
-				if cause == CausePause && now >= pausedUntil[s]+returnTime {
+				if cause == CausePause && now >= pausedUntil[s]+ReturnTime {
 					rt.Fatalf("paused %v after the end", now-pausedUntil[s])
 				}
 				if cause == CauseLeaving && !leaving[s] {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"papayapaddle/internal/excluder"
 	"papayapaddle/internal/failer"
 	"papayapaddle/internal/linker"
 )
@@ -89,25 +90,29 @@
 	PauseHeader   = "Retry-After"
 )
 
-// maxPauseSeconds limits the pause that a server may ask for, so that no answer takes it out for good.
-const maxPauseSeconds = 300
-
 // ServerNotice is what a response says of its server.
 type ServerNotice struct {
 	// Leaving says that the server is shutting down.
 	Leaving bool
-	// Pause is how long the server wants no requests, or 0.
+	// Pause is how long the server wants no requests, excluder.MaxPause at most, or 0.
 	Pause time.Duration
+	// UnreadablePause is the value of a pause that is no number of seconds from 0 on, and is ignored.
+	UnreadablePause string
 }
 
-// DecodeNotice decodes the notice of a response. A pause that is no number of seconds from 0 on is ignored.
+// DecodeNotice decodes the notice of a response.
 func DecodeNotice(status int, h http.Header) ServerNotice {
 	n := ServerNotice{Leaving: h.Get(LeavingHeader) == "1"}
-	if status == http.StatusServiceUnavailable {
-		if seconds, err := strconv.ParseFloat(h.Get(PauseHeader), 64); err == nil && seconds > 0 {
-			n.Pause = time.Duration(min(seconds, maxPauseSeconds) * float64(time.Second))
-		}
+	value := h.Get(PauseHeader)
+	if status != http.StatusServiceUnavailable || value == "" {
+		return n
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(seconds >= 0) {
+		n.UnreadablePause = value
+		return n
 	}
+	n.Pause = time.Duration(min(seconds, excluder.MaxPause.Seconds()) * float64(time.Second))
 	return n
 }
 
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"papayapaddle/internal/encoder"
+	"papayapaddle/internal/excluder"
 )
 
 const testPool = 1
@@ -195,14 +196,14 @@
 		}
 		return granted
 	}
-	c.Assert(run(time.Second) > 10*returnsPerSecond, qt.IsTrue)
+	c.Assert(run(time.Second) > 10*excluder.ReturnRequests, qt.IsTrue)
 	g.Pause(now, 1, 3*time.Second)
 	g.Pause(now, 1, time.Second)
 	c.Assert(run(3*time.Second), qt.Equals, 0)
-	granted := run(returnTime)
-	c.Assert(granted > 0 && granted <= returnsPerSecond+1, qt.IsTrue, qt.Commentf("%d grants", granted))
-	c.Assert(run(time.Second) > 10*returnsPerSecond, qt.IsTrue)
+	granted := run(excluder.ReturnTime)
+	c.Assert(granted > 0 && granted <= excluder.ReturnRequests+1, qt.IsTrue, qt.Commentf("%d grants", granted))
+	c.Assert(run(time.Second) > 10*excluder.ReturnRequests, qt.IsTrue)
 	g.Pause(now, 1, 365*24*time.Hour)
-	now = now.Add(maxPause + returnTime)
-	c.Assert(run(time.Second) > 10*returnsPerSecond, qt.IsTrue)
+	now = now.Add(excluder.MaxPause + excluder.ReturnTime)
+	c.Assert(run(time.Second) > 10*excluder.ReturnRequests, qt.IsTrue)
 }
--- a/internal/granter/pause.go
+++ b/internal/granter/pause.go
@@ -3,17 +3,12 @@
 import (
 	"time"
 
+	"papayapaddle/internal/excluder"
 	"papayapaddle/internal/pacer"
 )
 
-const (
-	// maxPause limits the pause of a server.
-	maxPause = 5 * time.Minute
-	// For returnTime after a pause, a server is granted returnsPerSecond requests a second, so that not all that
-	// waited arrive at the same moment.
-	returnTime       = time.Second
-	returnsPerSecond = 16
-)
+// returnsPerSecond is the rate of grants for excluder.ReturnTime after a pause.
+const returnsPerSecond = float64(excluder.ReturnRequests) * float64(time.Second) / float64(excluder.ReturnTime)
 
 // pause is a pause that a server asked for. The zero value is over.
 type pause struct {
@@ -24,7 +19,7 @@
 // Pause keeps requests from a server for a duration. A pause is never shortened.
 func (g *Granter) Pause(now time.Time, server uint32, d time.Duration) {
 	s := g.servers[server]
-	until := now.Add(min(d, maxPause))
+	until := now.Add(min(d, excluder.MaxPause))
 	if s == nil || d <= 0 || !until.After(s.pause.until) {
 		return
 	}
@@ -33,7 +28,7 @@
 
 // isReturning reports whether the server gets its requests back after a pause.
 func (p *pause) isReturning(now time.Time) bool {
-	return !now.Before(p.until) && now.Before(p.until.Add(returnTime))
+	return !now.Before(p.until) && now.Before(p.until.Add(excluder.ReturnTime))
 }
 
 func (p *pause) mayGrant(now time.Time) bool {
