Failing test of streams whose server sends nothing for a while

In each the answer is given up when the event timeout is over, and only then is it looked up whether another attempt may start, has a slot and is allowed by the configuration.

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,6 +72,8 @@
 	backend        *scriptedServers
 	configAge      time.Duration
 	configAgeKnown bool
+	// unproven makes the configuration's age unknown while a request is served.
+	unproven       atomic.Bool
 	catalog        *cataloger.Catalog
 	retriesLeft    int
 	shutdownAge    time.Duration
@@ -83,6 +86,8 @@
 	crashes int
 	// onAssign, if set, is called while a request waits for a server.
 	onAssign func()
+	// slotWait is how long each attempt of a request but the first waits for a server.
+	slotWait time.Duration
 }
 
 var routes = []*cataloger.Route{
@@ -134,7 +139,7 @@
 	tr.relayer = &Relayer{
 		Codec: testCodec{},
 		CurrentConfig: func() Config {
-			return Config{Catalog: tr.catalog, Age: tr.configAge, AgeKnown: tr.configAgeKnown}
+			return Config{Catalog: tr.catalog, Age: tr.configAge, AgeKnown: tr.configAgeKnown && !tr.unproven.Load()}
 		},
 		MaxConfigAge: 3 * time.Second,
 		AssignServer: tr.assignServer,
@@ -198,6 +203,13 @@
 		return nil, &Refusal{Reason: "no-server", RetryAfter: time.Second}
 	}
 	id := tr.servers[i]
+	if i > 0 && tr.slotWait > 0 {
+		select {
+		case <-time.After(tr.slotWait):
+		case <-ctx.Done():
+			return nil, &Refusal{Reason: "caller-gone"}
+		}
+	}
 	return &Assignment{
 		Server:           &cataloger.Server{ID: id, Address: id},
 		ReportFirstEvent: func() { tr.backend.logf("%s began", id) },
@@ -223,6 +235,8 @@
 	d.MaybeScanArgs(t, "body", &body)
 	d.MaybeScanArgs(t, "patience", &callerTimeout)
 	d.MaybeScanArgs(t, "leave", &leaveAfter)
+	unprovenAfter := 0
+	d.MaybeScanArgs(t, "unproven-after", &unprovenAfter)
 	method := http.MethodPost
 	if body == "" {
 		method = http.MethodGet
@@ -232,6 +246,9 @@
 	if leaveAfter > 0 {
 		time.AfterFunc(time.Duration(leaveAfter)*time.Millisecond, cancel)
 	}
+	if unprovenAfter > 0 {
+		time.AfterFunc(time.Duration(unprovenAfter)*time.Millisecond, func() { tr.unproven.Store(true) })
+	}
 	req := httptest.NewRequest(method, "http://h"+path, strings.NewReader(body)).WithContext(ctx)
 	req.Header.Set("Id", id)
 	req.Header.Set("Parts", strings.ReplaceAll(parts, "+", ","))
@@ -292,18 +309,30 @@
 	return false
 }
 
+// pausedServers is the file of TestPausedServerLosesNoStream.
+const pausedServers = "testdata/paused-servers"
+
 func TestRelayScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		synctest.Test(t, func(t *testing.T) {
-			tr := newTestRelayer(t)
-			defer func() {
-				close(tr.backend.stop)
-				tr.sender.RetainServers(nil)
-				synctest.Wait()
-			}()
-			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-				return tr.runCommand(d, t)
-			})
+		if path != pausedServers {
+			runScenarios(t, path)
+		}
+	})
+}
+
+// Guards against streams that are cut or answered with an error because their server sends nothing for a while.
+func TestPausedServerLosesNoStream(t *testing.T) { runScenarios(t, pausedServers) }
+
+func runScenarios(t *testing.T, path string) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTestRelayer(t)
+		defer func() {
+			close(tr.backend.stop)
+			tr.sender.RetainServers(nil)
+			synctest.Wait()
+		}()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return tr.runCommand(d, t)
 		})
 	})
 }
@@ -311,7 +340,8 @@
 // runCommand runs a command of the scripts in testdata:
 //
 //	server ID                           adds the input to the scripts of a server
-//	places ID...                        sets the servers that are assigned, in this order
+//	places ID... [wait=MS]              sets the servers that are assigned, in this order; all but the
+//	                                    first after a wait
 //	refusal retry-after=MS              assigns no server from now on
 //	beliefs [age=MS] [unproven] [none]  sets the configuration's age, makes its age unknown, or
 //	                                    removes the configuration
@@ -319,16 +349,23 @@
 //	repeats left=N                      sets the number of retries left in the retry budget
 //	closing since=MS                    sets the time since the shutdown started
 //	ended ID...                         says which servers accept no connections
-//	call path=PATH [id=ID] [parts=PART+PART] [key=KEY] [body=BODY] [patience=MS] [leave=MS]
-//	                                    sends a request, which the caller cancels after leave
+//	call path=PATH [id=ID] [parts=PART+PART] [key=KEY] [body=BODY] [patience=MS] [leave=MS] [unproven-after=MS]
+//	                                    sends a request, which the caller cancels after leave; the
+//	                                    configuration's age is unknown after unproven-after
 func (tr *testRelayer) runCommand(d *datadriven.TestData, t *testing.T) string {
 	switch d.Cmd {
 	case "server":
 		id := d.CmdArgs[0].Key
 		tr.backend.scripts[id] = append(tr.backend.scripts[id], d.Input)
 	case "places":
-		tr.servers, tr.refusal = nil, nil
+		tr.servers, tr.refusal, tr.slotWait = nil, nil, 0
 		for _, a := range d.CmdArgs {
+			if a.Key == "wait" {
+				var ms int
+				a.Scan(t, 0, &ms)
+				tr.slotWait = time.Duration(ms) * time.Millisecond
+				continue
+			}
 			tr.servers = append(tr.servers, a.Key)
 		}
 	case "refusal":
@@ -340,6 +377,7 @@
 		d.MaybeScanArgs(t, "age", &ms)
 		tr.configAge = time.Duration(ms) * time.Millisecond
 		tr.configAgeKnown = !d.HasArg("unproven")
+		tr.unproven.Store(false)
 		if d.HasArg("none") {
 			tr.catalog = nil
 		}
