Keep a silent server's answer while another attempt is sought

Callers of resumable streams got 502 or a cut answer a second after their server fell silent, with 12 to 15 s left: the attempt was ended first, and then the retry budget, the slots elsewhere, the configuration or the other server said no.

Each attempt of a stream reads in a goroutine of its own. After the event timeout the silence is reported to the server's owner and a standby is sought beside the silent attempt. The first of both to send an event that the caller does not have goes on alone, and the other one is closed at once, so its server stops. Neither is ended before that while it may still answer. A refused standby costs nothing and is sought again.

A standby of a stream that has begun waits for a slot like an interrupted one; one of a stream that has not begun gets only a free slot.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -151,12 +151,12 @@
 func (a *Admitter) Submit(now time.Time, req *Request) {
 	e := a.getOrCreateEngine(req.Engine)
 	a.update(now, e)
-	if now.Before(e.suspendedUntil) {
+	if now.Before(e.suspendedUntil) && !req.Standby {
 		a.refuse(now, e, Decision{Request: req, Reason: ReasonSuspended, RetryAfter: e.suspendedUntil.Sub(now)})
 		return
 	}
 	e.lastSubmittedAt = now
-	if req.Spare && !e.canTakeOverflow(now, req) {
+	if req.Spare && !e.canTakeOverflow(now, req) || req.Standby && (len(e.queue) > 0 || !e.canStart(now, req)) {
 		a.recordDecision(now, e, Decision{
 			Request: req, Reason: ReasonNoRoom,
 			RetryAfter: min(max(e.estimateWait(now), minRetryAfter), maxRetryAfter),
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -87,7 +87,7 @@
 		Prompt: prompt, Answer: answer, Parts: HashParts("m", names, tokens), Arrived: td.now,
 		FirstBy:  td.now.Add(time.Duration(objective) * time.Millisecond),
 		Deadline: td.now.Add(15 * time.Second),
-		Resumed:  d.HasArg("resumed"), Spare: d.HasArg("spare"),
+		Resumed:  d.HasArg("resumed"), Spare: d.HasArg("spare"), Standby: d.HasArg("standby"),
 	})
 }
 
--- a/internal/admitter/request.go
+++ b/internal/admitter/request.go
@@ -35,6 +35,9 @@
 	// Spare marks an overflow request: another server is the home of its prompt. It is
 	// granted only if the server has idle capacity, and never waits.
 	Spare bool
+	// Standby marks a second attempt of a stream whose server is silent and may yet go on. It is granted only if
+	// it can start now and nothing waits, and its refusal is not remembered, as its caller has not been refused.
+	Standby bool
 
 	// refusedBefore reports whether the same request was refused recently.
 	refusedBefore bool
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -56,6 +56,8 @@
 	Deadline time.Time
 	// Resumed reports whether the caller already has the beginning of the answer.
 	Resumed bool
+	// Standby marks a second attempt beside one whose server is silent.
+	Standby bool
 	// ExcludedServers are the IDs of servers that were already tried.
 	ExcludedServers []string
 }
@@ -273,7 +275,7 @@
 			Router: a.Self.Name, ID: rand.Uint64(), Workspace: req.Workspace, Engine: engine,
 			Prompt: req.PromptTokens, Parts: req.PromptParts, Answer: req.AnswerTokens,
 			FirstBy: req.FirstEventBy, Deadline: req.Deadline, Arrived: req.Arrived,
-			Resumed: req.Resumed, Spare: overflow,
+			Resumed: req.Resumed, Spare: overflow, Standby: req.Standby,
 		},
 		Service: req.Service.Name, Prompt: req.SharedPrefix, Tried: req.ExcludedServers, Limits: a.limitOf(server.ID),
 	}
--- a/internal/allocator/slot.go
+++ b/internal/allocator/slot.go
@@ -9,9 +9,13 @@
 	"papayapaddle/internal/messenger"
 )
 
-// ReportFirstEvent reports to the owner that the first event was received.
+// ReportFirstEvent reports to the owner that the first event, or the first one after a silence, was received.
 func (s *Slot) ReportFirstEvent() { s.reportOutcome(admitter.Outcome{First: true}) }
 
+// ReportSilence reports to the owner that the server has sent nothing for too long. The slot stays held, as the
+// server may go on.
+func (s *Slot) ReportSilence() { s.reportOutcome(admitter.Outcome{Failed: true}) }
+
 // Release reports to the owner that the request ended, and whether the server failed it or
 // returned a complete answer. Only the first call has an effect.
 func (s *Slot) Release(failed, complete bool) {
--- a/internal/conductor/assignment.go
+++ b/internal/conductor/assignment.go
@@ -66,10 +66,10 @@
 		if s == nil {
 			break
 		}
-		refusal := n.awaitStart(ctx, c, s, len(unlimited) == 0)
+		refusal := n.awaitStart(ctx, c, s, len(unlimited) == 0 && !c.Standby)
 		if refusal == nil {
 			return &relayer.Assignment{
-				Server: s, ReportFirstEvent: func() {},
+				Server: s, ReportFirstEvent: func() {}, ReportSilence: func() {},
 				Release: func(result relayer.AttemptResult) {
 					n.balancer.RequestDone(time.Now(), s.ID, result.Failed, result.Refused, result.Duration)
 				},
@@ -117,7 +117,7 @@
 		return nil, &relayer.Refusal{Reason: string(r.Reason), RetryAfter: r.RetryAfter, LogFields: refusalLogFields(r)}
 	}
 	return &relayer.Assignment{
-		Server: slot.Server, ReportFirstEvent: slot.ReportFirstEvent,
+		Server: slot.Server, ReportFirstEvent: slot.ReportFirstEvent, ReportSilence: slot.ReportSilence,
 		Release: func(result relayer.AttemptResult) { slot.Release(result.Failed || result.Refused, result.Complete) },
 	}, nil
 }
@@ -160,7 +160,7 @@
 		PromptTokens: c.PromptTokens, PromptParts: admitter.HashParts(c.Model, names, tokens), AnswerTokens: answer,
 		SharedPrefix: steerer.SharedPrefix{Home: home, Shared: shared},
 		Arrived:      c.Arrived, FirstEventBy: firstEventDeadline(c, time.Now()), Deadline: c.Deadline, ExcludedServers: c.ExcludedServers,
-		Resumed: c.Resumed,
+		Resumed: c.Resumed, Standby: c.Standby,
 	}
 }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -66,14 +66,10 @@
 	return assignment, true
 }
 
-// send writes the request to the assigned server and reads the response header.
-func (x *exchange) send(
-	ctx context.Context, assignment *Assignment, lastEvent string,
-) (*sender.Response, *attemptFailure) {
-	server := assignment.Server
-	x.serverID = server.ID
+// newRequest returns the request as it is sent to a server, and a reading of the boot clock.
+func (x *exchange) newRequest(server *cataloger.Server, lastEvent string) (*sender.Request, time.Duration) {
 	x.call.ExcludedServers = append(x.call.ExcludedServers, server.ID)
-	x.sentAt = timer.SinceBoot()
+	sentAt := timer.SinceBoot()
 	out := &sender.Request{
 		Server: server.ID, Address: server.Address,
 		Method: x.req.Method, Target: x.req.RequestURI, Host: x.req.Host,
@@ -88,38 +84,41 @@
 			id := x.Codec.DecodeResponse(0, h).RequestID
 			return id == x.call.ID || id == "" && first
 		},
-		OnResponse: func(status int, h http.Header) { x.reportResponse(server, status, h) },
+		OnResponse: func(status int, h http.Header) { x.reportResponse(server, sentAt, status, h) },
 	}
 	if x.MaySend != nil {
 		out.MaySend = func() bool { return x.MaySend(server) }
 	}
+	return out, sentAt
+}
+
+// sendRequest writes the request to a server and reads the response header. It does not change the
+// exchange, so that several attempts can run at the same time.
+func (x *exchange) sendRequest(
+	ctx context.Context, server *cataloger.Server, out *sender.Request,
+) (*sender.Response, *attemptFailure) {
 	if ctx.Err() != nil {
 		return nil, &attemptFailure{notRun: true, reason: "deadline", err: ctx.Err()}
 	}
 	resp, err := x.Send(ctx, out)
 	if err != nil {
-		notSent := failer.KindOf[sender.Kind](err) == sender.KindNotSent
-		if !notSent {
-			x.sentAttempts++
-		}
+		kind := failer.KindOf[sender.Kind](err)
 		if ctx.Err() == nil {
 			x.CloseIdle(server.ID, server.Address)
 		}
 		return nil, &attemptFailure{
-			notRun: notSent, sent: !notSent, reason: string(failer.KindOf[sender.Kind](err)), err: err,
-			connectionBroke: failer.KindOf[sender.Kind](err) == sender.KindNoResponse,
+			notRun: kind == sender.KindNotSent, sent: kind != sender.KindNotSent, reason: string(kind), err: err,
+			connectionBroke: kind == sender.KindNoResponse,
 		}
 	}
-	x.sentAttempts++
-	x.serverResponded = true
 	return resp, x.checkResponse(server.ID, resp)
 }
 
 // reportResponse passes on what the header of a response says of its server. Status 421 is the response
 // of another server.
-func (x *exchange) reportResponse(server *cataloger.Server, status int, h http.Header) {
+func (x *exchange) reportResponse(server *cataloger.Server, sentAt time.Duration, status int, h http.Header) {
 	if x.ServerResponded != nil && status != http.StatusMisdirectedRequest {
-		x.ServerResponded(server, x.call.ID, x.sentAt, x.Codec.DecodeResponse(status, h))
+		x.ServerResponded(server, x.call.ID, sentAt, x.Codec.DecodeResponse(status, h))
 	}
 }
 
@@ -200,16 +199,21 @@
 		if !ok {
 			return
 		}
-		start := time.Now()
-		resp, failure := x.send(ctx, assignment, "")
+		start, server := time.Now(), assignment.Server
+		out, sentAt := x.newRequest(server, "")
+		x.serverID = server.ID
+		resp, failure := x.sendRequest(ctx, server, out)
+		if failure == nil || failure.sent {
+			x.sentAttempts++
+		}
 		var body []byte
 		if failure == nil {
 			body, failure = x.bufferBody(resp)
 		}
-		if failure == nil && x.endedWithServer(ctx, assignment.Server, resp) {
+		if failure == nil && x.endedWithServer(ctx, server, resp) {
 			failure = &attemptFailure{sent: true, connectionBroke: true, reason: "answer-cut", err: errServerEnded}
 		}
-		x.reportEvidence(ctx, assignment.Server, resp, failure, failure == nil)
+		x.reportEvidence(ctx, server, sentAt, resp, failure, failure == nil)
 		final := failure == nil &&
 			(resp.Status < http.StatusInternalServerError || !x.mayRetry(ctx, &attemptFailure{sent: true}))
 		if resp != nil && !final {
--- a/internal/relayer/property_test.go
+++ b/internal/relayer/property_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -128,7 +129,7 @@
 var eventServer = regexp.MustCompile(`data: ([ab])`)
 
 // TestStreamsOfDifferentRunsAreNotMixed lets servers send streams whose events are complete,
-// truncated, repeated, out of order or mixed with garbage. The IDs of the events that the caller
+// truncated, repeated, out of order or mixed with garbage, and which pause for longer than the event timeout. The IDs of the events that the caller
 // receives must increase. A stream that is not resumable must come from one server. A resumable
 // one must have no gap after consecutive IDs. A stream that its server ends properly counts as
 // complete, as events do not tell which one is the last.
@@ -159,6 +160,10 @@
 		} else {
 			body = rapid.SliceOfN(piece, 0, 6).Draw(t, "pieces")
 		}
+		if rapid.Bool().Draw(t, "pauses") {
+			i := rapid.IntRange(0, len(body)).Draw(t, "pause-at")
+			body = slices.Insert(body, i, fmt.Sprintf("@wait %d", rapid.IntRange(900, 2100).Draw(t, "pause-ms")))
+		}
 		if rapid.Bool().Draw(t, "chunked") {
 			head = strings.Replace(head, `Connection: close`, `Transfer-Encoding: chunked`, 1)
 			for i, p := range body {
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -55,14 +55,19 @@
 	return out
 }
 
+// quarantineVerdict reports whether the request must not be sent to servers, and the verdict that says so.
+func (x *exchange) quarantineVerdict() (v quarantiner.Verdict, refused bool) {
+	if x.Quarantine == nil || x.testsVerdict {
+		return quarantiner.Verdict{}, false
+	}
+	v, refused, x.testsVerdict = x.Quarantine.Check(x.identity)
+	return v, refused
+}
+
 // checkQuarantine returns false if it responded to the request because it crashes servers. No other attempt
 // of the caller would end otherwise, so the response says nothing of a retry.
 func (x *exchange) checkQuarantine() bool {
-	if x.Quarantine == nil || x.testsVerdict {
-		return true
-	}
-	v, refused, test := x.Quarantine.Check(x.identity)
-	x.testsVerdict = test
+	v, refused := x.quarantineVerdict()
 	if !refused {
 		return true
 	}
@@ -86,15 +91,16 @@
 // reportEvidence reports an attempt that has ended: answered says that the server has begun to answer,
 // and failure whether the connection broke.
 func (x *exchange) reportEvidence(
-	ctx context.Context, server *cataloger.Server, resp *sender.Response, failure *attemptFailure, answered bool,
+	ctx context.Context, server *cataloger.Server, sentAt time.Duration, resp *sender.Response, failure *attemptFailure,
+	answered bool,
 ) {
 	switch {
 	case x.Quarantine == nil:
 	case answered:
-		x.Quarantine.RequestAnswered(server, x.sentAt, x.identity)
+		x.Quarantine.RequestAnswered(server, sentAt, x.identity)
 	case failure != nil && failure.connectionBroke && ctx.Err() == nil:
 		failure.mayCrashServers = x.Quarantine.IsSuspect(server, x.identity)
-		x.Quarantine.RequestLost(server, quarantiner.LostRequest{Request: x.identity, SentAt: x.sentAt, Begun: resp != nil})
+		x.Quarantine.RequestLost(server, quarantiner.LostRequest{Request: x.identity, SentAt: sentAt, Begun: resp != nil})
 	}
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -133,12 +133,8 @@
 
 	// wroteHeader is true if the response header was written to the caller.
 	wroteHeader bool
-	// serverResponded is true if a server's response header was received.
-	serverResponded bool
 	// mayHaveRun is true if a failed attempt may have run the request.
 	mayHaveRun bool
-	// sentAt is a reading of the boot clock before the latest attempt was sent.
-	sentAt time.Duration
 	// sentAttempts counts the attempts that may have reached a server.
 	sentAttempts int
 	// serverID is the server of the latest attempt.
@@ -361,6 +357,12 @@
 	return true
 }
 
+// configAllowsRetry reports whether the current configuration allows another attempt of the request at its service.
+func (x *exchange) configAllowsRetry() bool {
+	route, workspace, denied := x.match(x.CurrentConfig(), x.req, x.call.APIKey)
+	return denied == nil && workspace == x.call.Workspace && route.Retryable() && route.LeadsTo(x.call.Service.Name)
+}
+
 // readRequestBody buffers the request body. It returns false if it responded to the request
 // instead.
 func (x *exchange) readRequestBody() bool {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -213,6 +213,7 @@
 	return &Assignment{
 		Server:           &cataloger.Server{ID: id, Address: id},
 		ReportFirstEvent: func() { tr.backend.logf("%s began", id) },
+		ReportSilence:    func() { tr.backend.logf("%s is silent", id) },
 		Release: func(result AttemptResult) {
 			tr.backend.logf("%s ended failed=%v full=%v", id, result.Failed, result.Refused)
 		},
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -1,25 +1,20 @@
 package relayer
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"papayapaddle/internal/sender"
 )
 
 const (
-	// maxEventBytes limits one event of a stream.
-	maxEventBytes = 256 << 10
 	// firstEventTimeoutObjectives and eventTimeoutGaps are the multiples of the route's
-	// objective and maximum gap without an event after which a resumable stream is resumed at
-	// another server.
+	// objective and maximum gap without an event after which a server counts as silent.
 	firstEventTimeoutObjectives = 2
 	eventTimeoutGaps            = 2
 	// minEventTimeout is the lower limit of the event timeout, as shorter gaps do not indicate
@@ -27,7 +22,8 @@
 	minEventTimeout = time.Second
 )
 
-// streamState is the state of a stream across its attempts.
+// streamState is the state of a stream across its attempts. Each attempt reads in a goroutine of its
+// own; everything else, including the exchange, belongs to the goroutine that serves the request.
 type streamState struct {
 	x *exchange
 	// lastID is the ID of the last event forwarded.
@@ -37,15 +33,32 @@
 	lastIsNumber bool
 	// eventCount is the number of events forwarded.
 	eventCount int
-	// resumed is true if an earlier attempt has sent the beginning of the stream.
-	resumed bool
-	// attemptEvents is the number of events that the server of the current attempt sent.
-	attemptEvents int
 	// consecutive is true if all event IDs so far are consecutive numbers, so that a missing
 	// event can be detected.
 	consecutive bool
+
+	// attempts are the running attempts: one, or a silent one and its standby.
+	attempts []*streamAttempt
+	// leader is the attempt whose event was forwarded last, or the first one of several that have sent none.
+	leader  *streamAttempt
+	updates chan streamUpdate
+
+	// silent receives a value when watch expires. Both are unset for streams that cannot be resumed.
+	silent  chan struct{}
+	watch   *watchdog
+	standby standbySearch
 }
 
+var (
+	// errOvertaken ends an attempt after another one has gone on.
+	errOvertaken = errors.New("another attempt went on")
+	// errRejected ends an attempt whose event cannot be forwarded.
+	errRejected = errors.New("event rejected")
+	// errFinished ends the attempts that are left when the request is finished.
+	errFinished    = errors.New("request finished")
+	errCallerWrite = errors.New("write to the caller failed")
+)
+
 // resumeFrom sets the last event that the caller received.
 func (s *streamState) resumeFrom(lastID string) {
 	n, err := strconv.ParseInt(lastID, 10, 64)
@@ -54,8 +67,11 @@
 
 // serveStream serves a request whose response is a stream of events.
 func (x *exchange) serveStream(ctx context.Context) {
-	defer func() { x.BodyBudget.Release(x.body) }()
-	s := &streamState{x: x, consecutive: true}
+	s := &streamState{x: x, consecutive: true, updates: make(chan streamUpdate)}
+	defer func() {
+		s.endAttempts()
+		x.BodyBudget.Release(x.body)
+	}()
 	if lastID := x.call.LastEventID; lastID != "" && x.call.Route.Resumable {
 		s.resumeFrom(lastID)
 	}
@@ -64,13 +80,11 @@
 		if !ok {
 			return
 		}
-		failure, done := s.attempt(ctx, assignment)
-		if done {
+		s.start(ctx, assignment)
+		failure := s.relay(ctx)
+		if failure == nil {
 			return
 		}
-		x.Log("attempt-failed", "request", x.call.ID, "server", x.serverID,
-			"reason", failure.reason, "not-run", failure.notRun, "events", s.eventCount,
-			"parts", describeSharedParts(x.call.Parts), "err", failure.err)
 		if x.req.Context().Err() != nil {
 			x.setOutcome(outcomeCallerGone, statusClientClosedRequest)
 			return
@@ -85,75 +99,260 @@
 	}
 }
 
-// attempt runs the stream on one server. It returns true if the request is finished.
-func (s *streamState) attempt(ctx context.Context, assignment *Assignment) (*attemptFailure, bool) {
+// start begins an attempt on the assigned server.
+func (s *streamState) start(ctx context.Context, assignment *Assignment) {
 	x := s.x
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	var watch *watchdog
-	if x.call.Route.Resumable {
-		watch = newWatchdog(s.eventTimeout(), func() { cancel(errEventTimeout) })
-		defer watch.stop()
-	}
-	// If the caller disconnects, the server has failed only if it sent no event within the
-	// event timeout.
-	start, countBefore := time.Now(), s.eventCount
-	s.attemptEvents, s.resumed = 0, s.eventCount > 0
-	resp, failure := x.send(ctx, assignment, s.lastID)
-	complete := false
+	a := &streamAttempt{
+		server: assignment.Server, assignment: assignment, eventsBefore: s.eventCount, startedAt: time.Now(),
+	}
+	a.lastEventAt = a.startedAt
+	a.request, a.sentAt = x.newRequest(assignment.Server, s.lastID)
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	if len(s.attempts) == 0 {
+		s.leader, x.serverID = a, a.server.ID
+	}
+	s.attempts = append(s.attempts, a)
+	s.watchFrom(a.startedAt)
+	go a.run(x, s.updates)
+}
+
+// relay forwards the events of the running attempts. It returns nil when the request is finished, and the
+// last failure once all attempts have failed.
+func (s *streamState) relay(ctx context.Context) *attemptFailure {
+	for {
+		select {
+		case u := <-s.updates:
+			if u.end == nil {
+				if !s.handleEvent(u) {
+					return nil
+				}
+				continue
+			}
+			if ctx.Err() != nil {
+				return s.handleCancel(u)
+			}
+			failure := s.handleEnd(u)
+			if failure == nil {
+				return nil
+			}
+			if len(s.attempts) == 0 {
+				s.standby.stop()
+				return failure
+			}
+		case <-s.silent:
+			s.handleSilence(ctx)
+		case offer := <-s.standby.offers:
+			s.handleOffer(ctx, offer)
+		}
+	}
+}
+
+// handleEvent forwards an event. It returns false if the caller cannot be written to, which finishes the request.
+func (s *streamState) handleEvent(u streamUpdate) bool {
+	x, a := s.x, u.attempt
+	if a.failure != nil {
+		return true
+	}
+	a.count(x)
+	failure := s.forwardEvent(a, u)
 	if failure == nil {
-		switch {
-		case resp.Status != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
-			var done bool
-			failure, done = s.handleNonStream(resp)
-			complete = done && failure == nil
-		default:
-			failure = s.relayEvents(ctx, resp, assignment, watch)
-			complete = failure == nil
+		return true
+	}
+	s.abandon(a, failure, errRejected)
+	if errors.Is(failure.err, errCallerWrite) {
+		x.setOutcome(outcomeCallerGone, statusClientClosedRequest)
+		return false
+	}
+	return true
+}
+
+// forwardEvent forwards an event of an attempt unless the caller already received it.
+func (s *streamState) forwardEvent(a *streamAttempt, u streamUpdate) *attemptFailure {
+	x := s.x
+	switch {
+	case u.onlyComments && a != s.leader:
+		return nil
+	case !u.onlyComments:
+		s.recordSignOfLife(a)
+		if containsResponseHead(u.event) {
+			return &attemptFailure{sent: true, reason: "answer-in-stream", err: errors.New("a response within the stream")}
+		}
+		a.events++
+		if a.events == minAnswerEvents {
+			x.reportEvidence(a.ctx, a.server, a.sentAt, u.resp, nil, true)
+		}
+	}
+	written, failure := s.writeEvent(a, u)
+	if failure != nil {
+		return failure
+	}
+	if written && !u.onlyComments {
+		s.lead(a)
+	}
+	if !u.flush {
+		return nil
+	}
+	if err := x.respCtl.Flush(); err != nil {
+		return &attemptFailure{sent: true, reason: "caller-gone", err: errors.Join(errCallerWrite, err)}
+	}
+	return nil
+}
+
+// recordSignOfLife records that a server has sent an event, whether or not the caller has it already.
+func (s *streamState) recordSignOfLife(a *streamAttempt) {
+	x, now := s.x, time.Now()
+	if a.events == 0 || a.silent {
+		a.assignment.ReportFirstEvent()
+	}
+	if a.silent {
+		a.silent = false
+		x.Log("server-went-on", "request", x.call.ID, "server", a.server.ID, "events", s.eventCount,
+			"silent-ms", now.Sub(a.lastEventAt).Milliseconds())
+	}
+	a.lastEventAt = now
+	if a == s.leader {
+		s.watchFrom(now)
+	}
+}
+
+// lead makes an attempt the only one, as it has sent an event that the caller did not have. The server of
+// another one must not work on.
+func (s *streamState) lead(a *streamAttempt) {
+	s.standby.stop()
+	if s.leader == a && len(s.attempts) == 1 {
+		return
+	}
+	s.leader, s.x.serverID = a, a.server.ID
+	for _, other := range s.attempts {
+		if other != a {
+			reason := "overtaken"
+			if other.silent {
+				reason = "silent"
+			}
+			s.abandon(other, &attemptFailure{sent: true, reason: reason, err: errOvertaken}, errOvertaken)
 		}
 	}
-	if s.attemptEvents < minAnswerEvents {
-		x.reportEvidence(ctx, assignment.Server, resp, failure, complete && s.attemptEvents > 0)
+	s.watchFrom(a.lastEventAt)
+}
+
+// handleEnd handles the end of an attempt. It returns nil if the request is finished.
+func (s *streamState) handleEnd(u streamUpdate) *attemptFailure {
+	x, a, resp := s.x, u.attempt, u.end.resp
+	s.attempts = slices.DeleteFunc(s.attempts, func(other *streamAttempt) bool { return other == a })
+	failure, complete := u.end.failure, false
+	if failure == nil || failure.sent {
+		a.count(x)
+	}
+	switch {
+	case a.failure != nil:
+	case failure != nil:
+	case u.end.nonStream:
+		failure, complete = s.handleNonStream(u.end)
+	default:
+		failure = s.finishStream(resp)
+		complete = failure == nil
+	}
+	if a.failure == nil && a.events < minAnswerEvents {
+		x.reportEvidence(a.ctx, a.server, a.sentAt, resp, failure, complete && a.events > 0)
 	}
 	if resp != nil {
-		resp.Close(complete || failure != nil && failure.notRun && drain(resp))
-	}
-	failed := failure != nil && !failure.notRun &&
-		(x.req.Context().Err() == nil || s.eventCount == countBefore && time.Since(start) > s.eventTimeout())
-	if failure == nil && resp.Status >= http.StatusInternalServerError {
-		failed = true
-	}
-	failed = failed && !x.isAborted()
-	assignment.Release(AttemptResult{
-		Failed:  failed && !errors.Is(failure.cause(), errCallerWrite),
-		Refused: failure != nil && failure.notRun && failure.sent, Duration: time.Since(start),
-		Complete: complete && countBefore == 0,
-	})
-	if failure != nil && errors.Is(failure.err, errCallerWrite) {
-		x.setOutcome(outcomeCallerGone, statusClientClosedRequest)
-		return nil, true
+		resp.Close(complete || u.end.drained)
+	}
+	a.cancel(nil)
+	if a.failure != nil {
+		return a.failure
+	}
+	s.settle(a, resp, failure, complete)
+	return failure
+}
+
+// handleCancel handles the ends of all attempts in their order after the context has ended them. It returns nil if
+// the request is finished, and the last failure otherwise.
+func (s *streamState) handleCancel(first streamUpdate) *attemptFailure {
+	ends := map[*streamAttempt]streamUpdate{first.attempt: first}
+	for len(ends) < len(s.attempts) {
+		if u := <-s.updates; u.end != nil {
+			ends[u.attempt] = u
+		}
+	}
+	var failure *attemptFailure
+	for _, a := range slices.Clone(s.attempts) {
+		if failure = s.handleEnd(ends[a]); failure == nil {
+			return nil
+		}
 	}
-	if failure != nil && context.Cause(ctx) == errEventTimeout {
-		failure.reason = "silent"
+	s.standby.stop()
+	return failure
+}
+
+// abandon closes the connection of an attempt and settles it. Its end is still received as an update.
+func (s *streamState) abandon(a *streamAttempt, failure *attemptFailure, cause error) {
+	if a.failure == nil {
+		a.failure = failure
+		a.cancel(cause)
+		s.settle(a, nil, failure, false)
 	}
-	return failure, failure == nil
 }
 
-// cause returns the error of a failure, or nil if there is none.
-func (failure *attemptFailure) cause() error {
+// settle releases the slot of an attempt and logs its failure, if any.
+func (s *streamState) settle(a *streamAttempt, resp *sender.Response, failure *attemptFailure, complete bool) {
+	x := s.x
+	s.release(a, resp, failure, complete)
 	if failure == nil {
-		return nil
+		return
+	}
+	if !failure.notRun {
+		x.mayHaveRun = true
+	}
+	if !errors.Is(failure.err, errFinished) && !errors.Is(failure.err, errCallerWrite) {
+		x.Log("attempt-failed", "request", x.call.ID, "server", a.server.ID,
+			"reason", failure.reason, "not-run", failure.notRun, "events", s.eventCount,
+			"silent-ms", time.Since(a.lastEventAt).Milliseconds(), "left-ms", time.Until(x.call.Deadline).Milliseconds(),
+			"parts", describeSharedParts(x.call.Parts), "err", failure.err)
 	}
-	return failure.err
 }
 
-var (
-	errEventTimeout = errors.New("event timeout")
-	errCallerWrite  = errors.New("write to the caller failed")
-)
+// release returns the slot of an attempt that has ended and reports whether its server failed.
+func (s *streamState) release(a *streamAttempt, resp *sender.Response, failure *attemptFailure, complete bool) {
+	x := s.x
+	wasSilent := time.Since(a.lastEventAt) >= s.eventTimeout()
+	failed := failure != nil && !failure.notRun
+	switch {
+	case failed && x.req.Context().Err() != nil:
+		// If the caller disconnects, the server has failed only if it was silent from the start.
+		failed = a.events == 0 && wasSilent
+	case failed && (errors.Is(failure.err, errOvertaken) || errors.Is(failure.err, errFinished)):
+		failed = wasSilent
+	case failed:
+		failed = !errors.Is(failure.err, errCallerWrite)
+	case failure == nil:
+		failed = resp.Status >= http.StatusInternalServerError
+	}
+	a.assignment.Release(AttemptResult{
+		// A silence is reported once.
+		Failed:  failed && !a.silent && !x.isAborted(),
+		Refused: failure != nil && failure.notRun && failure.sent, Duration: time.Since(a.startedAt),
+		Complete: complete && a.eventsBefore == 0,
+	})
+}
+
+// endAttempts ends and settles all attempts that still run.
+func (s *streamState) endAttempts() {
+	s.standby.stop()
+	if s.watch != nil {
+		s.watch.stop()
+	}
+	for _, a := range s.attempts {
+		s.abandon(a, &attemptFailure{sent: true, reason: "finished", err: errFinished}, errFinished)
+	}
+	for len(s.attempts) > 0 {
+		if u := <-s.updates; u.end != nil {
+			s.handleEnd(u)
+		}
+	}
+}
 
-// eventTimeout returns how long to wait for the next event before the stream is resumed at
-// another server.
+// eventTimeout returns how long a server may send no event before it counts as silent.
 func (s *streamState) eventTimeout() time.Duration {
 	route := s.x.call.Route
 	if s.eventCount == 0 {
@@ -164,91 +363,17 @@
 
 // handleNonStream handles a response that is not an event stream, usually an error, as a stream
 // succeeds with events. It returns a failure if a part of the response was already forwarded to
-// the caller, or if a server's error may be retried, and forwards the response otherwise. It
-// reports whether it forwarded the whole response.
-func (s *streamState) handleNonStream(resp *sender.Response) (*attemptFailure, bool) {
-	x := s.x
-	if s.eventCount > 0 || x.wroteHeader {
-		return &attemptFailure{
-			sent: true, reason: "server-failed", err: errors.New("status " + strconv.Itoa(resp.Status)),
-		}, false
-	}
-	body, failure := x.bufferBody(resp)
-	if failure != nil {
-		return failure, false
-	}
-	if resp.Status >= http.StatusInternalServerError && x.call.Route.Resumable &&
-		x.sentAttempts < x.call.Route.MaxAttempts {
+// the caller, or if another attempt may succeed where the server failed, and forwards the response
+// otherwise. It reports whether it forwarded the whole response.
+func (s *streamState) handleNonStream(end *attemptEnd) (*attemptFailure, bool) {
+	x, resp := s.x, end.resp
+	mayRetry := x.call.Route.Resumable && (x.sentAttempts < x.call.Route.MaxAttempts || len(s.attempts) > 0)
+	if s.eventCount > 0 || x.wroteHeader || resp.Status >= http.StatusInternalServerError && mayRetry {
 		return &attemptFailure{
 			sent: true, reason: "server-failed", err: errors.New("status " + strconv.Itoa(resp.Status)),
 		}, false
 	}
-	return nil, x.forwardResponse(resp, body)
-}
-
-// relayEvents forwards each event as soon as it is complete. No part of a truncated event is
-// forwarded, so that the stream can be resumed after the last complete one.
-func (s *streamState) relayEvents(
-	ctx context.Context, resp *sender.Response, assignment *Assignment, watch *watchdog,
-) *attemptFailure {
-	x := s.x
-	br := bufio.NewReaderSize(resp.Body, 4<<10)
-	var event []byte
-	reported := false
-	for {
-		line, err := br.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(event) <= maxEventBytes:
-			continue
-		case errors.Is(err, io.EOF):
-			if len(event) > 0 {
-				return &attemptFailure{sent: true, connectionBroke: true, reason: "event-cut", err: io.ErrUnexpectedEOF}
-			}
-			if s.attemptEvents == 0 && resp.DelimitedByClose() || x.endedWithServer(ctx, assignment.Server, resp) {
-				return &attemptFailure{sent: true, connectionBroke: true, reason: "stream-cut", err: errServerEnded}
-			}
-			return s.finishStream(resp)
-		case err != nil:
-			return &attemptFailure{sent: true, connectionBroke: true, reason: "stream-cut", err: err}
-		case len(event) > maxEventBytes:
-			return &attemptFailure{sent: true, reason: "event-too-long", err: errors.New("event too long")}
-		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
-			continue
-		}
-		onlyComments := hasOnlyComments(event)
-		if onlyComments && s.eventCount == 0 {
-			// Leading comments are forwarded with the first event. Until then the response has
-			// not begun, and another server may still give a different one.
-			continue
-		}
-		if watch != nil && !onlyComments {
-			watch.extend(s.eventTimeout())
-		}
-		if !reported && !onlyComments {
-			reported = true
-			assignment.ReportFirstEvent()
-		}
-		if containsResponseHead(event) {
-			return &attemptFailure{sent: true, reason: "answer-in-stream", err: errors.New("a response within the stream")}
-		}
-		if !onlyComments {
-			s.attemptEvents++
-			if s.attemptEvents == minAnswerEvents {
-				x.reportEvidence(ctx, assignment.Server, resp, nil, true)
-			}
-		}
-		if failure := s.writeEvent(resp, event); failure != nil {
-			return failure
-		}
-		event = event[:0]
-		if br.Buffered() == 0 {
-			if err := x.respCtl.Flush(); err != nil {
-				return &attemptFailure{sent: true, reason: "caller-gone", err: errors.Join(errCallerWrite, err)}
-			}
-		}
-	}
+	return nil, x.forwardResponse(resp, end.body)
 }
 
 // finishStream ends a stream that the server ended properly.
@@ -266,74 +391,41 @@
 	return nil
 }
 
-// writeEvent writes one complete event. It skips events that the caller already received, and
-// returns a failure if an event is missing.
-func (s *streamState) writeEvent(resp *sender.Response, event []byte) *attemptFailure {
+// writeEvent writes one complete event. It skips an event that the caller already received, and
+// returns a failure if an event is missing. It reports whether it wrote the event.
+func (s *streamState) writeEvent(a *streamAttempt, u streamUpdate) (bool, *attemptFailure) {
 	x := s.x
-	id, ok := eventID(event)
-	if !ok && s.resumed && s.lastIsNumber && !hasOnlyComments(event) {
-		return &attemptFailure{sent: true, reason: "event-without-id", err: errors.New("event without an ID after " + s.lastID)}
+	id, ok := eventID(u.event)
+	if !ok && a.eventsBefore > 0 && s.lastIsNumber && !u.onlyComments {
+		return false, &attemptFailure{sent: true, reason: "event-without-id", err: errors.New("event without an ID after " + s.lastID)}
 	}
 	if ok {
 		n, err := strconv.ParseInt(id, 10, 64)
 		if err == nil && s.lastIsNumber && n <= s.lastNumber {
-			return nil
+			return false, nil
 		}
 		follows := err == nil && n == s.lastNumber+1
 		if x.call.Route.Resumable && s.consecutive && !follows && s.eventCount > 0 {
-			return &attemptFailure{
+			return false, &attemptFailure{
 				sent: true, reason: "event-missing", err: errors.New("event " + id + " after " + s.lastID),
 			}
 		}
 		s.lastIsNumber, s.lastNumber, s.consecutive = err == nil, n, s.consecutive && follows
 	}
 	if s.eventCount == 0 {
-		now := time.Now()
-		x.firstEventAt = now
-		x.setResponseHeader(resp)
+		x.firstEventAt = time.Now()
+		x.setResponseHeader(u.resp)
 		x.w.Header().Del("Content-Length")
-		x.w.WriteHeader(resp.Status)
+		x.w.WriteHeader(u.resp.Status)
 		x.wroteHeader = true
 	}
 	s.eventCount++
 	x.extendWriteDeadline()
-	if _, err := x.w.Write(event); err != nil {
-		return &attemptFailure{sent: true, reason: "caller-gone", err: errors.Join(errCallerWrite, err)}
+	if _, err := x.w.Write(u.event); err != nil {
+		return false, &attemptFailure{sent: true, reason: "caller-gone", err: errors.Join(errCallerWrite, err)}
 	}
 	if ok {
 		s.lastID = id
 	}
-	return nil
-}
-
-// hasOnlyComments reports whether a block of a stream contains no event. A stalled server may
-// still send comments.
-func hasOnlyComments(block []byte) bool {
-	for line := range bytes.Lines(block) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
-			return false
-		}
-	}
-	return true
-}
-
-// containsResponseHead reports whether a block holds the head of a response, which a faulty server or
-// one that gave up wrote into its stream.
-func containsResponseHead(block []byte) bool {
-	for line := range bytes.Lines(block) {
-		if bytes.HasPrefix(line, []byte("HTTP/1.")) {
-			return true
-		}
-	}
-	return false
-}
-
-// eventID returns the ID of an event, which is that of its last id line.
-func eventID(event []byte) (id string, ok bool) {
-	for line := range bytes.Lines(event) {
-		if v, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id, ok = string(bytes.TrimSpace(v)), true
-		}
-	}
-	return id, ok
+	return true, nil
 }
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -94,20 +94,26 @@
 	ExcludedServers []string
 	// Resumed is true if this router already forwarded part of the stream.
 	Resumed bool
+	// Standby is true if the call is for a second attempt beside one whose server is silent, which needs a
+	// server that can start it now.
+	Standby bool
 }
 
 // Assignment permits one attempt of a call on a server.
 type Assignment struct {
 	Server *cataloger.Server
 	// ReportFirstEvent must be called at the first event of a stream.
+	// It must be called again at the first event after ReportSilence.
 	ReportFirstEvent func()
+	// ReportSilence must be called when the server has sent no event for the event timeout, once per silence.
+	ReportSilence func()
 	// Release must be called exactly once, when the attempt has ended.
 	Release func(result AttemptResult)
 }
 
 // AttemptResult describes how an attempt on a server ended.
 type AttemptResult struct {
-	// Failed is true if the server failed.
+	// Failed is true if the server failed, unless that was reported as its silence.
 	Failed bool
 	// Refused is true if the server received the request and did not run it.
 	Refused bool
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -12,6 +12,7 @@
 	mu       sync.Mutex
 	deadline time.Time
 	timer    *time.Timer
+	expired  bool
 }
 
 // newWatchdog starts a watchdog that expires after the given time.
@@ -24,11 +25,12 @@
 	return w
 }
 
-// extend sets the deadline to the given time from now.
-func (w *watchdog) extend(by time.Duration) {
+// extend sets the deadline to the given time from now. It returns false if the watchdog has expired.
+func (w *watchdog) extend(by time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.deadline = time.Now().Add(by)
+	return !w.expired
 }
 
 // timerFired rechecks the deadline, which may have been extended since the timer was set. Under
@@ -39,6 +41,7 @@
 	if timeLeft > 0 {
 		w.timer.Reset(timeLeft)
 	}
+	w.expired = timeLeft <= 0
 	w.mu.Unlock()
 	if timeLeft <= 0 {
 		w.onExpire()
