Forward a server's own error if no other attempt gives a better response

Callers got the router's 502 or 504 though a server had responded with a whole 500: the response was thrown away for a retry that was then refused, broke off, sent nothing or was no longer allowed.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -216,6 +216,9 @@
 		x.reportEvidence(ctx, server, sentAt, resp, failure, failure == nil)
 		final := failure == nil &&
 			(resp.Status < http.StatusInternalServerError || !x.mayRetry(ctx, &attemptFailure{sent: true}))
+		if failure == nil && !final {
+			x.keepServerError(resp, body)
+		}
 		if resp != nil && !final {
 			resp.Close(drain(resp))
 		}
@@ -260,6 +263,20 @@
 	return body, nil
 }
 
+// bufferedResponse is a whole response whose connection is released.
+type bufferedResponse struct {
+	resp *sender.Response
+	body []byte
+}
+
+// keepServerError keeps an error with which a server responded, unless it is too long. It is forwarded if the other
+// attempts fail or are refused.
+func (x *exchange) keepServerError(resp *sender.Response, body []byte) {
+	if len(body) <= maxBufferedBytes {
+		x.serverError = &bufferedResponse{resp, body}
+	}
+}
+
 // forwardResponse writes a server's response to the caller. The remainder of one that exceeds
 // maxBufferedBytes is streamed; if it is truncated, the caller's connection is aborted.
 // forwardResponse reports whether the response was read to its end.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -135,6 +135,8 @@
 	wroteHeader bool
 	// mayHaveRun is true if a failed attempt may have run the request.
 	mayHaveRun bool
+	// serverError is the last error with which a server responded, if another attempt was to give a better response.
+	serverError *bufferedResponse
 	// sentAttempts counts the attempts that may have reached a server.
 	sentAttempts int
 	// serverID is the server of the latest attempt.
@@ -420,7 +422,7 @@
 	x.writeOwnResponse(outcomeFailed, status, 0)
 }
 
-// writeOwnResponse writes a response of the router itself.
+// writeOwnResponse writes a response of the router itself, or the error with which a server responded.
 func (x *exchange) writeOwnResponse(outcome string, status int, retryAfter time.Duration) {
 	if x.req.Context().Err() != nil {
 		x.setOutcome(outcomeCallerGone, statusClientClosedRequest)
@@ -430,6 +432,10 @@
 		x.setOutcome(outcomeCut, status)
 		return
 	}
+	if x.serverError != nil && x.mayHaveRun {
+		x.forwardResponse(x.serverError.resp, x.serverError.body)
+		return
+	}
 	x.setOutcome(outcome, status)
 	h := x.w.Header()
 	x.Codec.EncodeRefusal(h, x.call.ID, retryAfter)
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -369,6 +369,7 @@
 	x, resp := s.x, end.resp
 	mayRetry := x.call.Route.Resumable && (x.sentAttempts < x.call.Route.MaxAttempts || len(s.attempts) > 0)
 	if s.eventCount > 0 || x.wroteHeader || resp.Status >= http.StatusInternalServerError && mayRetry {
+		x.keepServerError(resp, end.body)
 		return &attemptFailure{
 			sent: true, reason: "server-failed", err: errors.New("status " + strconv.Itoa(resp.Status)),
 		}, false
