Let a standby of a stream that has not begun wait for a slot after half a second

Most servers that are merely at their limit go on within half a second after the event timeout, so only the first search is content with a free slot now; later ones wait for one like any request.

--- a/internal/relayer/standby.go
+++ b/internal/relayer/standby.go
@@ -96,9 +96,10 @@
 	x := s.x
 	call := x.call
 	call.ExcludedServers = slices.Clone(call.ExcludedServers)
-	// A stream that has begun waits for a slot as if it were interrupted. One that has not takes only a free slot, as its
-	// server may be at its limit, and a second prompt is more load on a full fleet.
-	call.Resumed, call.Standby = s.eventCount > 0, s.eventCount == 0
+	// A stream that has begun waits for a slot as if it were interrupted. One that has not takes only a free slot at
+	// first: most servers that are merely at their limit go on soon, and a second prompt is more load on a full fleet.
+	call.Resumed, call.Standby = s.eventCount > 0, s.eventCount == 0 && s.searches == 0
+	s.searches++
 	ctx, cancel := context.WithCancel(ctx)
 	offers := make(chan standbyOffer)
 	s.standby = standbySearch{offers: offers, cancel: cancel}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -47,6 +47,8 @@
 	silent  chan struct{}
 	watch   *watchdog
 	standby standbySearch
+	// searches counts the searches for a standby since the last event.
+	searches int
 }
 
 var (
@@ -209,7 +211,7 @@
 		x.Log("server-went-on", "request", x.call.ID, "server", a.server.ID, "events", s.eventCount,
 			"silent-ms", now.Sub(a.lastEventAt).Milliseconds())
 	}
-	a.lastEventAt = now
+	a.lastEventAt, s.searches = now, 0
 	if a == s.leader {
 		s.watchFrom(now)
 	}
