--- a/internal/relayer/authorize.go
+++ b/internal/relayer/authorize.go
@@ -42,22 +42,36 @@
 	if catalog == nil {
 		return nil, "", &denial{http.StatusServiceUnavailable, "no-configuration", retrySoonDelay}
 	}
-	notCurrent := &denial{http.StatusServiceUnavailable, "configuration-unproven", RetryElsewhereDelay}
-	current := config.AgeKnown && config.Age <= r.MaxConfigAge
 	route = catalog.MatchRoute(req.Host, req.URL.EscapedPath())
 	switch {
-	case route == nil && !current:
-		return nil, "", notCurrent
+	case route == nil && !r.isProven(config):
+		return nil, "", configUnproven
 	case route == nil:
 		return nil, "", &denial{status: http.StatusNotFound, reason: "no-route"}
-	case route.Public || !catalog.KeysRequired:
-		return route, "", nil
-	case !current:
-		return route, "", notCurrent
 	}
-	w := catalog.WorkspaceByKey(key)
+	workspace, denied = r.identifyWorkspace(config, route, key)
+	return route, workspace, denied
+}
+
+// isProven reports whether a configuration was the latest recently enough to tell which keys are valid.
+func (r *Relayer) isProven(config Config) bool {
+	return config.AgeKnown && config.Age <= r.MaxConfigAge
+}
+
+// identifyWorkspace returns the workspace that holds a key, or "" on routes that need none.
+func (r *Relayer) identifyWorkspace(config Config, route *cataloger.Route, key string) (string, *denial) {
+	switch {
+	case route.Public || !config.Catalog.KeysRequired:
+		return "", nil
+	case !r.isProven(config):
+		return "", configUnproven
+	}
+	w := config.Catalog.WorkspaceByKey(key)
 	if w == nil {
-		return route, "", &denial{status: http.StatusUnauthorized, reason: "unknown-key"}
+		return "", &denial{status: http.StatusUnauthorized, reason: "unknown-key"}
 	}
-	return route, w.Name, nil
+	return w.Name, nil
 }
+
+// configUnproven denies a request if the configuration may be outdated.
+var configUnproven = &denial{http.StatusServiceUnavailable, "configuration-unproven", RetryElsewhereDelay}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -346,7 +346,10 @@
 func (x *exchange) recheckConfig() bool {
 	prevCatalog, service := x.config.Catalog, x.call.Service
 	x.config = x.CurrentConfig()
-	if x.config.Catalog == prevCatalog && x.config.AgeKnown && x.config.Age <= x.MaxConfigAge {
+	if x.config.Catalog == prevCatalog && x.isProven(x.config) {
+		return true
+	}
+	if x.mayHaveRun && x.mayContinue(x.config) {
 		return true
 	}
 	if !x.authorize() {
@@ -359,10 +362,14 @@
 	return true
 }
 
-// configAllowsRetry reports whether the current configuration allows another attempt of the request at its service.
-func (x *exchange) configAllowsRetry() bool {
-	route, workspace, denied := x.match(x.CurrentConfig(), x.req, x.call.APIKey)
-	return denied == nil && workspace == x.call.Workspace && route.Retryable() && route.LeadsTo(x.call.Service.Name)
+// mayContinue reports whether a configuration allows another attempt of a request that its service has begun. The
+// route may lead elsewhere by now, but no other service can continue the request.
+func (x *exchange) mayContinue(config Config) bool {
+	if config.Catalog == nil || config.Catalog.Services[x.call.Service.Name] == nil {
+		return false
+	}
+	workspace, denied := x.identifyWorkspace(config, x.call.Route, x.call.APIKey)
+	return denied == nil && workspace == x.call.Workspace
 }
 
 // readRequestBody buffers the request body. It returns false if it responded to the request
--- a/internal/relayer/standby.go
+++ b/internal/relayer/standby.go
@@ -88,7 +88,7 @@
 	if !s.attempts[0].counted {
 		sent++
 	}
-	return sent < x.call.Route.MaxAttempts && len(x.call.ExcludedServers) < maxServersTried && x.configAllowsRetry()
+	return sent < x.call.Route.MaxAttempts && len(x.call.ExcludedServers) < maxServersTried && x.mayContinue(x.CurrentConfig())
 }
 
 // seekStandby asks for a server in the background.
@@ -124,7 +124,7 @@
 		reason = offer.refusal.Reason
 	} else if _, refused := x.quarantineVerdict(); refused {
 		reason = reasonRequestQuarantined
-	} else if !x.configAllowsRetry() {
+	} else if !x.mayContinue(x.CurrentConfig()) {
 		reason = "configuration"
 	} else if !x.AllowRetry(x.call.Service.Name) {
 		reason = "retry-budget"
