Log what the soak does beside the logs of the routers

soak.log in the directory of a seed holds each fault with its duration, the end of the faults, and each request with a culprit that reached a server.

--- a/internal/soaker/faults_test.go
+++ b/internal/soaker/faults_test.go
@@ -24,7 +24,9 @@
 func (s *soak) injectFaults(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		faultDuration := time.Duration(200+s.rng.IntN(3000)) * time.Millisecond
-		faults[s.rng.IntN(len(faults))](s, faultDuration)
+		f := faults[s.rng.IntN(len(faults))]
+		s.events.Printf("event=fault kind=%v duration=%v", f, faultDuration)
+		f(s, faultDuration)
 		time.Sleep(time.Duration(s.rng.IntN(1200)) * time.Millisecond)
 	}
 }
--- a/internal/soaker/harness_test.go
+++ b/internal/soaker/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -40,6 +41,7 @@
 	servers   []*standin.Server
 	processes []*process
 	balancer  *balancer
+	events    *log.Logger
 	// storeProxies are the proxies between each router and the store, in the order of processes.
 	storeProxies []*faultProxy
 	// serverProxies are the proxies in front of the backend servers, by server ID.
@@ -173,6 +175,8 @@
 	req.executions++
 	if req.culprit != "" {
 		s.deadlyExecutions[req.culprit] = append(s.deadlyExecutions[req.culprit], req.sentAt)
+		s.events.Printf("event=culprit-reached culprit=%s server=%s request=%s workspace=%s router=%s sent-before=%v",
+			req.culprit, server, id, workspace, req.router.settings.Name, now.Sub(req.sentAt))
 	}
 	if req.executions > 1 && req.kind == bookingRequest {
 		report("it was executed %d times", req.executions)
@@ -322,7 +326,12 @@
 		return nil, err
 	}
 	cluster.Engine, cluster.Zones = d.engine, d.zones
+	events, err := newEventLog(logDir)
+	if err != nil {
+		return nil, err
+	}
 	s := &soak{
+		events:        events,
 		deployment:    d,
 		rng:           rand.New(rand.NewPCG(seed, 2)),
 		cluster:       cluster,
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -134,6 +134,7 @@
 	s.injectFaults(faultDuration)
 	s.clearFaults()
 	calmSince := time.Now().Add(disturbanceMargin)
+	s.events.Printf("event=faults-cleared calm-after=%v", disturbanceMargin)
 	recoverBy := time.Now().Add(maxRecoveryTime)
 	s.waitUntilReady("the last fault", maxRecoveryTime)
 	time.Sleep(max(calmTime, time.Until(calmSince.Add(calmTime))))
