Keep evidence that has led to no verdict in the store

Routers that all started again kept the verdicts, but forgot a request or part that was one server short of one, so a caller who repeats it crashed as many servers again. A trial on the code before, with the store there throughout: two requests had ended three servers, both routers were stopped, and at the next one three more requests ended four more servers before the fourth was refused. Four may reach servers in all. TestEvidenceOutlivesAllRouters failed ("timed out waiting until the evidence is written").

Besides the verdicts the row has the evidence against the eight parts or requests with the most, of those that two servers have ended under: sound parts of most servers that end have one, so they cause no write.

Measured: the third request ends a server and the fourth is refused.

--- a/internal/conductor/quarantine_test.go
+++ b/internal/conductor/quarantine_test.go
@@ -12,6 +12,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"papayapaddle/internal/linker"
+	"papayapaddle/internal/quarantiner"
+	"papayapaddle/internal/timer"
 	"papayapaddle/platform"
 	"papayapaddle/platform/standin"
 )
@@ -25,6 +27,8 @@
 	// maxCrashesOfOneRequest is the number of servers that one request may crash before no router sends it, with
 	// one that is sent while routers exchange what they have seen.
 	maxCrashesOfOneRequest = 4
+	// minCrashesKept is the number of servers that must have crashed for the evidence to be kept in the store.
+	minCrashesKept = 2
 	// crashInterval is the time between two requests with the part. It lets routers exchange what
 	// they have seen.
 	crashInterval = 500 * time.Millisecond
@@ -207,3 +211,44 @@
 	c.Assert(resp.Status, qt.Equals, http.StatusUnprocessableEntity)
 	c.Assert(runs.count("after"), qt.Equals, 0)
 }
+
+// Guards against routers that all start again after a request has crashed two servers, one short of a verdict, and then let
+// it crash servers as if it were new.
+func TestEvidenceOutlivesAllRouters(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, "a", "b")
+	runs := &runLog{}
+	for _, s := range f.cluster.ModelServers {
+		s.CrashBody, s.OnRun = "bad", runs.add
+	}
+	call := func(router, id string) standin.Response {
+		// Requests that a server takes with it get no answer.
+		resp, _ := standin.Request{
+			Router: f.settings[router].Listen.Callers, Path: standin.ModelPrefix + "x", ID: id, APIKey: standin.APIKey,
+			TokenUsage: "100,30", SharedPart: "subject", OwnPart: "bad", Body: "bad",
+		}.Do()
+		return resp
+	}
+	restarts := f.cluster.Restarts()
+	for i := range minCrashesKept {
+		call("a", fmt.Sprintf("before-%d", i))
+		restarts = f.awaitRestart(restarts)
+	}
+	eventually(c, "the evidence is written", func() bool {
+		v, err := platform.NewStore(f.cluster.StoreAddress(), linker.NewKeepAliveDialer(connSilenceTimeout)).GetVerdicts(t.Context())
+		return err == nil && slices.ContainsFunc(v.Suspects, func(e quarantiner.Evidence) bool { return len(e.Crashes) >= minCrashesKept })
+	})
+	for _, name := range []string{"a", "b"} {
+		c.Assert(f.routers[name].Stop(t.Context()), qt.IsNil)
+		delete(f.routers, name)
+	}
+	f.start("c")
+	eventually(c, "the new router knows the evidence", func() bool {
+		return len(f.routers["c"].node.quarantiner.ExportSuspects(timer.SinceBoot())) > 0
+	})
+	call("c", "third")
+	f.awaitRestart(restarts)
+	c.Check(call("c", "fourth").Status, qt.Equals, http.StatusUnprocessableEntity)
+	c.Check(runs.count("third"), qt.Equals, 1)
+	c.Check(runs.count("fourth"), qt.Equals, 0)
+}
--- a/internal/quarantiner/gossip.go
+++ b/internal/quarantiner/gossip.go
@@ -17,6 +17,11 @@
 	minResendInterval = time.Second
 	// announceTime is how long cleared evidence is sent after a peer was seen not to know of it.
 	announceTime = 2 * time.Second
+	// minCrashesKept is the number of servers that must have ended under a part that is not quarantined for its evidence to outlive
+	// all routers. Under many sound parts one has.
+	minCrashesKept = 2
+	// maxKeptSuspects limits these parts.
+	maxKeptSuspects = 8
 	// maxDepth and maxAge limit what a peer may state.
 	maxDepth = 1 << 10
 	maxAge   = 2 * maxQuarantine
@@ -91,11 +96,35 @@
 func (q *Quarantiner) Export(now time.Duration) []Evidence {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.evidence(now, q.selectKept(now, true))
+}
+
+// ExportSuspects returns the evidence to be kept against parts that are not quarantined but that minCrashesKept servers have ended
+// under.
+func (q *Quarantiner) ExportSuspects(now time.Duration) []Evidence {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.evidence(now, q.selectKept(now, false))
+}
+
+// ExportDigest returns a number that differs for different evidence of Export and ExportSuspects, 0 if there is none.
+func (q *Quarantiner) ExportDigest(now time.Duration) uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.digest(append(q.selectKept(now, true), q.selectKept(now, false)...))
+}
+
+// selectKept returns the quarantined parts, or others with evidence to be kept. The lock must be held.
+func (q *Quarantiner) selectKept(now time.Duration, quarantined bool) []suspicion {
 	verdicts := q.decisions().verdicts
-	return q.evidence(now, slices.DeleteFunc(q.selectParts(now), func(c suspicion) bool {
+	kept := slices.DeleteFunc(q.selectParts(now), func(c suspicion) bool {
 		_, ok := verdicts[c.part]
-		return !ok
-	}))
+		return ok != quarantined || !quarantined && c.crashes < minCrashesKept
+	})
+	if !quarantined {
+		kept = kept[:min(len(kept), maxKeptSuspects)]
+	}
+	return kept
 }
 
 // evidence returns the evidence against parts. The lock must be held.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -313,3 +313,38 @@
 	_, refused, _ = q.Check(now, Request{Workspace: 2, Content: 1})
 	c.Assert(refused, qt.IsFalse)
 }
+
+// Guards against kept evidence that grows without bound, misses a change, or does not count for the router that reads it.
+func TestSuspectsAreKept(t *testing.T) {
+	c := qt.New(t)
+	var q Quarantiner
+	now := time.Minute
+	server := uint64(0)
+	crash := func(q *Quarantiner, content uint64) {
+		server++
+		now += time.Second
+		q.ReportCrash(now, server, Release{}, []LostRequest{{Request: Request{Workspace: 1, Content: content}}})
+	}
+	for content := range uint64(2 * maxKeptSuspects) {
+		crash(&q, content+1)
+	}
+	c.Assert(q.ExportDigest(now), qt.Equals, uint64(0))
+	for content := range uint64(2 * maxKeptSuspects) {
+		crash(&q, content+1)
+	}
+	c.Assert(q.ExportSuspects(now), qt.HasLen, maxKeptSuspects)
+	c.Assert(q.Export(now), qt.HasLen, 0)
+	digest := q.ExportDigest(now)
+	c.Assert(digest, qt.Not(qt.Equals), uint64(0))
+
+	var other Quarantiner
+	other.Import(now, q.ExportSuspects(now))
+	last := Request{Workspace: 1, Content: 2 * maxKeptSuspects}
+	crash(&other, last.Content)
+	other.Tick(now + settleTime)
+	_, refused, _ := other.Check(now+settleTime, last)
+	c.Assert(refused, qt.IsTrue)
+
+	q.ReportAnswer(now, 1000, now, last)
+	c.Assert(q.ExportDigest(now), qt.Not(qt.Equals), digest)
+}
