Count the silences of one pause once, and end the suspension at the next event

What callers saw: a model server that paused for about a second got no requests for up to 8 s. Each silence from the third on doubled the suspension, so that six running requests sufficed, and events that came after the pause reset the count, but did not end the suspension.

Silences (Failed without Done, which keeps the slot) now count as one piece of evidence until the suspension is over; after that only probes show that the server is still silent, and lengthen it. The first event ends a suspension unless there were three failures other than silences. A request that is silent holds its slot, but does not keep the next probe from starting; while such requests hold all slots, the server stays suspended. A probe that ends without an event and without an answer counts as silent: before, a dead machine, where the connection is not established, was probed without any pause. Failures that end a request (broken connections, refusals, errors) count as before.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -66,11 +66,6 @@
 	activeTimeout = 2 * time.Second
 	// slotIntervalSmoothing is the weight of the latest interval between two freed slots.
 	slotIntervalSmoothing = 0.2
-	// failuresToSuspend is the number of consecutive failures that suspend a server.
-	failuresToSuspend = 3
-	// minSuspension and maxSuspension limit how long a failing server gets no requests.
-	minSuspension = time.Second
-	maxSuspension = 8 * time.Second
 	// answerTokenWeight is the weight of an answer token in a workspace's usage, relative
 	// to a prompt token.
 	answerTokenWeight = 2
@@ -151,8 +146,8 @@
 func (a *Admitter) Submit(now time.Time, req *Request) {
 	e := a.getOrCreateEngine(req.Engine)
 	a.update(now, e)
-	if now.Before(e.suspendedUntil) {
-		a.refuse(now, e, Decision{Request: req, Reason: ReasonSuspended, RetryAfter: e.suspendedUntil.Sub(now)})
+	if e.isSuspended(now) {
+		a.refuse(now, e, Decision{Request: req, Reason: ReasonSuspended, RetryAfter: e.health.suspendedUntil.Sub(now)})
 		return
 	}
 	e.lastSubmittedAt = now
@@ -216,11 +211,8 @@
 	}
 	if o.First {
 		e.recordFirstEvent(now, r)
-		e.recordSuccess()
-	}
-	if o.Failed {
-		e.recordFailure(now)
 	}
+	e.recordOutcome(now, r, o)
 	if o.Whole && !r.firstEventAt.IsZero() {
 		e.tokenLatency.recordAnswer(now.Sub(r.firstEventAt), r.request.Answer, len(e.running))
 	}
@@ -362,8 +354,8 @@
 				begin = slotFree
 			}
 		}
-		if now.Before(e.suspendedUntil) && begin.Before(e.suspendedUntil) {
-			begin = e.suspendedUntil
+		if begin.Before(e.health.suspendedUntil) {
+			begin = e.health.suspendedUntil
 		}
 		paced := e.pace.next(now, len(kept))
 		if paced.After(begin) {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -61,7 +61,26 @@
 	return out.String()
 }
 
-func (td *testDriver) submit(t *testing.T, d *datadriven.TestData) {
+// requestNames returns the requests that a command names. With count=N, "a" stands for a1 to aN.
+func requestNames(t *testing.T, d *datadriven.TestData) []string {
+	var names []string
+	count := 0
+	d.MaybeScanArgs(t, "count", &count)
+	for _, arg := range d.CmdArgs {
+		if len(arg.Vals) > 0 || arg.Key == "resumed" || arg.Key == "spare" {
+			continue
+		}
+		if count == 0 {
+			names = append(names, arg.Key)
+		}
+		for i := range count {
+			names = append(names, arg.Key+strconv.Itoa(i+1))
+		}
+	}
+	return names
+}
+
+func (td *testDriver) submit(t *testing.T, d *datadriven.TestData, name string) {
 	prompt, answer, objective, slots := 1000, 100, 800, 10
 	workspace, part, router := "w", "", "r"
 	d.MaybeScanArgs(t, "prompt", &prompt)
@@ -71,7 +90,6 @@
 	d.MaybeScanArgs(t, "workspace", &workspace)
 	d.MaybeScanArgs(t, "part", &part)
 	d.MaybeScanArgs(t, "router", &router)
-	name := d.CmdArgs[0].Key
 	names, tokens := []string{name}, []int{prompt}
 	if part != "" {
 		prefix, size, _ := strings.Cut(part, ":")
@@ -92,28 +110,32 @@
 }
 
 // run executes one command and returns the decisions that it caused. The command "ask" submits
-// a request, "first", "done" and "failed" record outcomes, "forget" removes a router, "heard"
+// a request, "first", "silent", "done", "failed" and "unsent" record outcomes, "forget" removes a router, "heard"
 // merges the grants of a peer, "limit" sets the limit that the server names, and "state" returns the state of the server instead.
 func (td *testDriver) run(t *testing.T, d *datadriven.TestData) string {
 	router := "r"
 	d.MaybeScanArgs(t, "router", &router)
 	record := func(o Outcome) {
-		for _, arg := range d.CmdArgs {
-			if arg.Key != "router" && arg.Key != "ms" {
-				o.Router, o.ID, o.Server = router, td.id(arg.Key), "e"
-				td.admitter.RecordOutcome(td.now, o)
-			}
+		for _, name := range requestNames(t, d) {
+			o.Router, o.ID, o.Server = router, td.id(name), "e"
+			td.admitter.RecordOutcome(td.now, o)
 		}
 	}
 	switch d.Cmd {
 	case "ask":
-		td.submit(t, d)
+		for _, name := range requestNames(t, d) {
+			td.submit(t, d, name)
+		}
 	case "first":
 		record(Outcome{First: true})
 	case "done":
 		record(Outcome{Done: true, Whole: true})
+	case "silent":
+		record(Outcome{Failed: true})
 	case "failed":
 		record(Outcome{Done: true, Failed: true})
+	case "unsent":
+		record(Outcome{Done: true})
 	case "limit":
 		td.limit = -1
 		d.MaybeScanArgs(t, "per-second", &td.limit)
--- a/internal/admitter/engine.go
+++ b/internal/admitter/engine.go
@@ -22,6 +22,10 @@
 	// firstEventAt is when the first event was received. It is zero for a request that a
 	// previous owner granted.
 	firstEventAt time.Time
+	// probe reports whether the request was granted to find out whether a failing server works again.
+	probe bool
+	// silent reports whether the server has been silent on the request since its router said so.
+	silent bool
 }
 
 // engineState is the estimated state of one model server: its prefill backlog, its running
@@ -55,12 +59,9 @@
 
 	lastSubmittedAt time.Time
 	// refusedAt is when requests were refused, by prompt ID.
-	refusedAt           map[uint64]time.Time
-	consecutiveFailures int
-	suspendedUntil      time.Time
-	// suspension is the duration of the latest suspension. It doubles with each failure.
-	suspension time.Duration
-	pace       pace
+	refusedAt map[uint64]time.Time
+	health    health
+	pace      pace
 }
 
 func newEngine(e Engine) *engineState {
@@ -94,16 +95,16 @@
 
 // canStart reports whether the engine could start a request now.
 func (e *engineState) canStart(now time.Time, req *Request) bool {
-	if now.Before(e.suspendedUntil) || now.Before(e.pace.next(now, 0)) {
+	if e.isSuspended(now) || now.Before(e.pace.next(now, 0)) {
 		return false
 	}
 	n := len(e.running)
 	if n == 0 {
 		return true
 	}
-	if e.consecutiveFailures >= failuresToSuspend {
-		// After a suspension, a single request probes whether the server works again.
-		return false
+	if e.health.failing() {
+		// A single request probes the server. Silent ones show nothing of it.
+		return e.awaitedCount() == 0
 	}
 	if n >= e.concurrencyLimit() || e.prefillBacklog(now) > maxPrefillBacklog {
 		return false
@@ -124,6 +125,7 @@
 	}
 	r := &runningRequest{
 		request: req, prefillTokens: e.prefixCache.uncachedTokens(req.Prompt, req.Parts), grantedAt: now,
+		probe: e.health.failing(),
 	}
 	e.prefixCache.insert(req.Parts)
 	if e.prefillDoneAt.Before(now) {
@@ -251,21 +253,6 @@
 	return found && now.Sub(at) <= refusalTTL
 }
 
-// recordFailure counts a failure and suspends the server after failuresToSuspend in a row.
-func (e *engineState) recordFailure(now time.Time) {
-	e.consecutiveFailures++
-	if e.consecutiveFailures < failuresToSuspend {
-		return
-	}
-	e.suspension = min(max(e.suspension*2, minSuspension), maxSuspension)
-	e.suspendedUntil = now.Add(e.suspension)
-}
-
-func (e *engineState) recordSuccess() {
-	e.consecutiveFailures = 0
-	e.suspension = 0
-}
-
 // estimateWait returns the estimated time until the engine could start a new request.
 func (e *engineState) estimateWait(now time.Time) time.Duration {
 	wait := e.prefillBacklog(now)
@@ -275,8 +262,6 @@
 	if n := len(e.running) + len(e.queue) - e.concurrencyLimit(); n >= 0 {
 		wait = max(wait, time.Duration(n+1)*e.slotFreeInterval)
 	}
-	if now.Before(e.suspendedUntil) {
-		wait = max(wait, e.suspendedUntil.Sub(now))
-	}
+	wait = max(wait, e.health.suspendedUntil.Sub(now))
 	return max(wait, e.pace.next(now, len(e.queue)).Sub(now))
 }
--- a/internal/admitter/report.go
+++ b/internal/admitter/report.go
@@ -28,7 +28,7 @@
 		}
 		a.update(now, e)
 		out = append(out, Load{
-			Server: id, Wait: e.estimateWait(now), Suspended: now.Before(e.suspendedUntil),
+			Server: id, Wait: e.estimateWait(now), Suspended: e.isSuspended(now),
 			Use: float32(e.utilization.value),
 		})
 	}
@@ -58,7 +58,7 @@
 		state := ServerState{
 			Server: id, Active: e.isActive(now), Running: len(e.running), Waiting: len(e.queue),
 			ConcurrencyLimit: e.concurrencyLimit(), PrefillRate: e.prefillRate,
-			Failures: e.consecutiveFailures, WaitMS: e.estimateWait(now).Seconds() * 1000,
+			Failures: e.health.failures + e.health.silences, WaitMS: e.estimateWait(now).Seconds() * 1000,
 		}
 		if e.pace.limited {
 			perSecond := e.pace.perSecond
--- a/internal/admitter/request.go
+++ b/internal/admitter/request.go
@@ -124,12 +124,13 @@
 	Router string
 	ID     uint64
 	Server string
-	// First reports that the first event was received.
+	// First reports that the first event was received, or an event after a silence.
 	First bool
 	// Done reports that the request ended.
 	Done bool
 	// Whole reports that the complete answer was received.
 	Whole bool
-	// Failed reports that the server failed the request.
+	// Failed reports that the server failed the request or, without Done, that it has been silent for longer than
+	// the event timeout.
 	Failed bool
 }
--- a/internal/admitter/utilization.go
+++ b/internal/admitter/utilization.go
@@ -46,7 +46,7 @@
 	if len(e.running) >= e.concurrencyLimit() {
 		busyUntil = now
 	}
-	if now.Before(e.suspendedUntil) {
+	if e.isSuspended(now) {
 		busyUntil = now
 	}
 	if next := e.pace.next(now, 0); next.After(busyUntil) {
