Rehearse engines that pause, with the silences that their routers report

The simulation reported no silence, so that no workload showed what a pause costs. Engines that stop responding are now reported as silent after the event timeout, and their first event after it.

--- a/internal/rehearser/engine.go
+++ b/internal/rehearser/engine.go
@@ -34,8 +34,10 @@
 	model    EngineModel
 	slowdown float64
 	dead     bool
-	queue    []*engineRequest
-	running  []*engineRequest
+	// deaths is how often the engine has stopped responding.
+	deaths  int
+	queue   []*engineRequest
+	running []*engineRequest
 	// prefixUsedAt holds the last use of each cached prefix, cachedTokens its size.
 	prefixUsedAt map[string]time.Duration
 	cachedTokens map[string]int
--- a/internal/rehearser/load.go
+++ b/internal/rehearser/load.go
@@ -151,7 +151,9 @@
 	redirected   bool
 	retryAfter   time.Duration
 	firstTokenAt time.Duration
-	outcome      string
+	// silent reports whether the router has reported that the engine is silent.
+	silent  bool
+	outcome string
 }
 
 func (r *request) deadline() time.Duration {
--- a/internal/rehearser/rehearser.go
+++ b/internal/rehearser/rehearser.go
@@ -159,6 +159,9 @@
 			if active && e.Kind == "slow-engines" {
 				eng.slowdown = e.Factor
 			}
+			if eng.dead {
+				sim.watchSilences(eng)
+			}
 			sim.wake(eng)
 		}
 	}
@@ -267,6 +270,9 @@
 		sim.report.PrefixTokensPrefilled += r.prefixTokens
 	}
 	eng.add(sim.now, r)
+	if eng.dead {
+		sim.watchSilence(eng, r)
+	}
 	sim.wake(eng)
 	id := r.id
 	sim.schedule(max(0, r.deadline()-sim.now), func() {
@@ -309,6 +315,7 @@
 			s.underserved = s.underserved || sim.now-er.request.arrivedAt > er.request.objective()
 			sim.recordOutcome(er.request, admitter.Outcome{First: true})
 		}
+		sim.endSilences(eng)
 		for _, er := range finished {
 			sim.recordOutcome(er.request, admitter.Outcome{Done: true, Whole: true})
 			outcome := "late"
