Measure plain servers again that were slow for a moment

What callers saw: a server of a plain service that paused for 1.3 s with five requests of a router in flight got no request of that router any more, for good: its latency had risen to 0.9 s, and without requests there is no newer one. The other servers had to have forty requests in flight each before it was picked.

The latency of an idle server now approaches that of the picked one, by a tenth while each server could have been picked once, whatever the rate of requests. A server with requests in flight keeps its latency, so that one that is silent gets no more of them.

TestPausedServerIsPickedAgain: before, 0 of 400 requests in the 20 s after the pause (picked map[sound:400]), now 127 to 139 in three runs. TestSlowServerIsRarelyPicked (one of two servers always takes 1 s): 10 of 1200 requests.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -17,6 +17,10 @@
 	latencySmoothing = 0.2
 	// initialLatency is the assumed latency of a server before the first measurement.
 	initialLatency = 20 * time.Millisecond
+	// latencyDecay is the fraction by which the latency of an idle server approaches that of the picked one while each
+	// server of the service could have been picked once. A server that was slow for a moment is measured again,
+	// and one that stays slow gets about a hundredth of a share.
+	latencyDecay = 0.1
 	// maxConsecutiveFailures is the number of consecutive failures after which a server is
 	// avoided for failureCooldown. After that, a single request probes it.
 	maxConsecutiveFailures = 3
@@ -71,11 +75,22 @@
 		}
 	}
 	if best != nil {
+		b.decayLatencies(best, servers)
 		b.getOrCreateServer(best.ID).inFlight++
 	}
 	return best
 }
 
+// decayLatencies lets the latencies of idle servers approach that of the picked one. The lock must be held.
+func (b *Balancer) decayLatencies(picked *cataloger.Server, servers []*cataloger.Server) {
+	latency := b.servers[picked.ID].latency
+	for _, s := range servers {
+		if state := b.servers[s.ID]; state != nil && state.inFlight == 0 && state.latency > latency {
+			state.latency -= time.Duration(latencyDecay / float64(len(servers)) * float64(state.latency-latency))
+		}
+	}
+}
+
 func (b *Balancer) getOrCreateServer(server string) *serverState {
 	if b.servers == nil {
 		b.servers = map[string]*serverState{}
