Test that a silent owner loses no waiting request

No fault was found: when the owner of a server is silent for 1.3 s, its connection is closed by the update that it does not answer in time, the request that waits there is granted by the next router, and the owner forgets its place and learns of both slots when it goes on.

--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,31 @@
 type router struct {
 	*Allocator
 	accept chan net.Conn
+	// paused, if set, is closed when the router goes on.
+	paused atomic.Pointer[chan struct{}]
+}
+
+// routerConn is a connection that a paused router neither reads nor writes.
+type routerConn struct {
+	net.Conn
+	router *router
+}
+
+func (c *routerConn) wait() {
+	if goOn := c.router.paused.Load(); goOn != nil {
+		<-*goOn
+	}
+}
+
+func (c *routerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.wait()
+	return n, err
+}
+
+func (c *routerConn) Write(b []byte) (int, error) {
+	c.wait()
+	return c.Conn.Write(b)
 }
 
 func (r *router) Accept() (net.Conn, error) {
@@ -42,7 +68,7 @@
 		return nil, net.ErrClosed
 	}
 	a, b := net.Pipe()
-	r.accept <- b
+	r.accept <- &routerConn{b, r}
 	return a, nil
 }
 
@@ -296,3 +322,45 @@
 		slot.Release(false, true)
 	})
 }
+
+// TestSilentOwnerLosesNoWaitingRequest guards against requests that are refused because the owner of the server is
+// silent for a second while they wait there, and against places that it keeps for them when it goes on.
+func TestSilentOwnerLosesNoWaitingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := &network{routers: map[string]*router{}, unreachable: map[string]bool{}}
+		defer n.close()
+		owner, other := n.addRouterPair()
+		// The prefill takes two seconds, so the next request waits.
+		longPrompt := newSlotRequest()
+		longPrompt.PromptTokens = 80_000
+		first, refusal := other.Acquire(t.Context(), longPrompt)
+		c.Assert(refusal, qt.IsNil)
+		waiting := newSlotRequest()
+		waiting.FirstEventBy = time.Now().Add(10 * time.Second)
+		var second *Slot
+		go func() { second, refusal = other.Acquire(t.Context(), waiting) }()
+		synctest.Wait()
+		c.Assert(owner.Dump()[0].Waiting, qt.Equals, 1)
+
+		goOn := make(chan struct{})
+		owner.paused.Store(&goOn)
+		first.ReportFirstEvent()
+		time.Sleep(1300 * time.Millisecond)
+		owner.paused.Store(nil)
+		close(goOn)
+		synctest.Wait()
+		c.Assert(refusal, qt.IsNil)
+		c.Assert(second, qt.IsNotNil)
+
+		other.Membership.RecordHeartbeat(owner.Self, false)
+		other.ReportSlotsToNewOwners()
+		synctest.Wait()
+		c.Assert(owner.Dump()[0].Waiting, qt.Equals, 0)
+		c.Assert(owner.runningCount(), qt.Equals, 2)
+		first.Release(false, true)
+		second.Release(false, true)
+		synctest.Wait()
+		c.Assert(owner.runningCount(), qt.Equals, 0)
+	})
+}
