--- a/internal/conductor/exclusion_test.go
+++ b/internal/conductor/exclusion_test.go
@@ -35,9 +35,15 @@
 		}
 		n := countRequests(s)
 		s.SetLeaving(true)
-		for i := 0; n.Load() == 0 && i < 50; i++ {
+		tries := 50
+		if s.ID[0] != 'm' {
+			// A server of a plain service gets a request in the end, however slow it was before.
+			tries = 1000
+		}
+		for i := 0; n.Load() == 0 && i < tries; i++ {
 			f.call("a", path, standin.APIKey, tokens)
 		}
+		c.Assert(n.Load() > 0 || s.ID[0] == 'm', qt.IsTrue, qt.Commentf("%s got no request that it could answer", s.ID))
 		f.cluster.Store.SetDown(true)
 		reached := n.Load()
 		for range 30 {
