Keep quiet connections to servers whose machine is silent for two seconds

What callers saw: an answer lost (502 for what may not run twice) if the machine of a server stood still for as little as 0.6 s while nothing was sent on the connection, as before the first event or before the answer of a plain service. TCP_USER_TIMEOUT counts from the last packet received, the first probe is sent after a second, and one that is not answered by the next second ends the connection: a bound of 2 s tolerates no lost probe.

Connections to servers now have 3.5 s, in which three probes may be lost. A machine that is gone is noticed up to 2 s later on connections without a watchdog of their own. Those to routers and to the store keep 2 s: calls there have shorter limits.

TestQuietConnectionSurvivesShortSilence, before: "one probe is lost" (0.6 s) and "two probes are lost" (1.6 s) end with "connection timed out" in three of three runs; now they pass in two of two, with -race. "the machine is gone" passes in both.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -45,10 +45,14 @@
 type Error = failer.Error[Kind]
 
 const (
-	// connSilenceTimeout is how long the other side of a connection to a router, a server or
-	// the store may be silent before the connection fails. Three lost packets in a row stay
+	// connSilenceTimeout is how long the other side of a connection to a router or the
+	// store may be silent before the connection fails. Three lost packets in a row stay
 	// below it, since the first retransmission takes 200 ms.
 	connSilenceTimeout = 2 * time.Second
+	// serverConnSilenceTimeout is the same for connections to servers, on which nothing may be sent while a request
+	// runs. It counts from the last packet, and the first probe is sent after a second; a silence of two
+	// seconds stays below it.
+	serverConnSilenceTimeout = 3500 * time.Millisecond
 	// callerConnSilenceTimeout is the same for callers, whose links may be worse.
 	callerConnSilenceTimeout = 10 * time.Second
 	// minFailureTimeout is the time without a message after which a router counts as
@@ -244,7 +248,7 @@
 }
 
 func newSender(n *node) *sender.Sender {
-	return &sender.Sender{Dial: linker.NewKeepAliveDialer(connSilenceTimeout), OnConnect: n.metrics.countServerConn}
+	return &sender.Sender{Dial: linker.NewKeepAliveDialer(serverConnSilenceTimeout), OnConnect: n.metrics.countServerConn}
 }
 
 func newRelayer(
