Notice a silence at the shorter timeout that holds after the first event

The watchdog of a stream looked at its deadline only when its timer first fired, and the first event extended it by the timeout before the first event, so that a silence right after the first event was noticed up to 0.6 s late. A standby then started as much later.

--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -191,6 +191,9 @@
 	if written && !u.onlyComments {
 		s.lead(a)
 	}
+	if !u.onlyComments && a == s.leader {
+		s.watchFrom(a.lastEventAt)
+	}
 	if !u.flush {
 		return nil
 	}
@@ -212,9 +215,6 @@
 			"silent-ms", now.Sub(a.lastEventAt).Milliseconds())
 	}
 	a.lastEventAt, s.searches = now, 0
-	if a == s.leader {
-		s.watchFrom(now)
-	}
 }
 
 // lead makes an attempt the only one, as it has sent an event that the caller did not have. The server of
@@ -234,7 +234,6 @@
 			s.abandon(other, &attemptFailure{sent: true, reason: reason, err: errOvertaken}, errOvertaken)
 		}
 	}
-	s.watchFrom(a.lastEventAt)
 }
 
 // handleEnd handles the end of an attempt. It returns nil if the request is finished.
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -12,7 +12,9 @@
 	mu       sync.Mutex
 	deadline time.Time
 	timer    *time.Timer
-	expired  bool
+	// firesAt is when the timer fires next, at the deadline or before.
+	firesAt time.Time
+	expired bool
 }
 
 // newWatchdog starts a watchdog that expires after the given time.
@@ -21,6 +23,7 @@
 	w.extend(after)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.firesAt = w.deadline
 	w.timer = time.AfterFunc(after, w.timerFired)
 	return w
 }
@@ -30,6 +33,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.deadline = time.Now().Add(by)
+	if !w.expired && w.timer != nil && w.deadline.Before(w.firesAt) {
+		w.firesAt = w.deadline
+		w.timer.Reset(by)
+	}
 	return !w.expired
 }
 
@@ -39,6 +46,7 @@
 	w.mu.Lock()
 	timeLeft := time.Until(w.deadline)
 	if timeLeft > 0 {
+		w.firesAt = w.deadline
 		w.timer.Reset(timeLeft)
 	}
 	w.expired = timeLeft <= 0
