--- a/internal/soaker/harness_test.go
+++ b/internal/soaker/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -41,6 +42,7 @@
 	servers   []*standin.Server
 	processes []*process
 	balancer  *balancer
+	events    *log.Logger
 	// storeProxies are the proxies between each router and the store, in the order of processes.
 	storeProxies []*faultProxy
 	// serverProxies are the proxies in front of the backend servers, by server ID.
@@ -50,13 +52,15 @@
 	// sendsDeadly makes a tenth of the streams and a twentieth of the bookings crash servers.
 	sendsDeadly atomic.Bool
 
-	mu sync.Mutex
-	// deadlyExecutions holds when the requests with each culprit were sent that reached servers.
-	deadlyExecutions map[culprit][]time.Time
-	violations       []string
-	requests         map[string]*request
-	lostRequests     int
-	lostAnswers      int
+	mu             sync.Mutex
+	culprits       map[culprit]*culpritRecord
+	evidenceLosses []evidenceLoss
+	// storeDownSince is since when the store has been unavailable, or zero.
+	storeDownSince time.Time
+	violations     []string
+	requests       map[string]*request
+	lostRequests   int
+	lostAnswers    int
 	// answersStallUntil is the time until which a third of the answers stall, as stallRNG draws.
 	answersStallUntil time.Time
 	stallRNG          *rand.Rand
@@ -185,7 +189,10 @@
 	}
 	req.executions++
 	if req.culprit != "" {
-		s.deadlyExecutions[req.culprit] = append(s.deadlyExecutions[req.culprit], req.sentAt)
+		r := s.culpritRecord(req.culprit)
+		r.reachedBy = append(r.reachedBy, req.sentAt)
+		s.events.Printf("event=culprit-reached culprit=%s server=%s request=%s workspace=%s router=%s sent-before=%v",
+			req.culprit, server, id, workspace, req.router.settings.Name, now.Sub(req.sentAt))
 	}
 	if req.executions > 1 && req.kind == bookingRequest {
 		report("it was executed %d times", req.executions)
@@ -246,6 +253,7 @@
 			report("its key was rejected %v after it was stored", req.sentAt.Sub(s.addedAt[req.key]))
 		}
 	case req.status == http.StatusUnprocessableEntity && req.culprit != "":
+		s.culpritRecord(req.culprit).addRefused(req.sentAt)
 	case req.status == http.StatusBadGateway || req.status == http.StatusGatewayTimeout:
 		s.checkLostAnswer(req, report)
 	case req.status != 0:
@@ -341,7 +349,12 @@
 	if err := cluster.AddSpareServers(spareServers); err != nil {
 		return nil, err
 	}
+	events, err := newEventLog(logDir)
+	if err != nil {
+		return nil, err
+	}
 	s := &soak{
+		events:        events,
 		deployment:    d,
 		seed:          seed,
 		rng:           rand.New(rand.NewPCG(seed, 2)),
@@ -355,7 +368,7 @@
 		firstAccepted: map[string]time.Time{},
 		drainingSince: map[string]time.Time{}, leavingServers: map[string]bool{}, pausingUntil: map[string]time.Time{},
 		toldLeaving: map[string]time.Time{}, toldPauses: map[string]*toldPause{},
-		deadlyExecutions: map[culprit][]time.Time{}, limits: map[string]*namedLimit{}, heldBackUntil: map[string]time.Time{},
+		culprits: map[culprit]*culpritRecord{}, limits: map[string]*namedLimit{}, heldBackUntil: map[string]time.Time{},
 		servedCounts:  map[string]int{},
 		requestCounts: map[string]int{},
 		apiKeys:       map[string][]string{standin.Workspace: {standin.APIKey}, "other": {"key-of-other"}},
