Forward what attempts still sent when the deadline ends them

Callers got a stream that looked complete without its last events, or no end of their request at all, if the deadline or a stop ended two attempts while events of one were on their way: the ends of the attempts were collected and the events between dropped, and an end that had been received was waited for again after the other attempt had finished the request. An abandoned attempt is no longer reported as silent either.

--- a/internal/relayer/standby.go
+++ b/internal/relayer/standby.go
@@ -65,7 +65,7 @@
 			waiting = false
 			continue
 		}
-		if !a.silent {
+		if !a.silent && a.failure == nil {
 			a.silent = true
 			a.assignment.ReportSilence()
 			x.Log("server-silent", "request", x.call.ID, "server", a.server.ID, "events", s.eventCount,
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -271,18 +271,25 @@
 // the request is finished, and the last failure otherwise.
 func (s *streamState) handleCancel(first streamUpdate) *attemptFailure {
 	ends := map[*streamAttempt]streamUpdate{first.attempt: first}
+	finished := false
 	for len(ends) < len(s.attempts) {
 		if u := <-s.updates; u.end != nil {
 			ends[u.attempt] = u
+		} else if !s.handleEvent(u) {
+			finished = true
 		}
 	}
 	var failure *attemptFailure
 	for _, a := range slices.Clone(s.attempts) {
-		if failure = s.handleEnd(ends[a]); failure == nil {
-			return nil
+		if finished {
+			s.abandon(a, &attemptFailure{sent: true, reason: "finished", err: errFinished}, errFinished)
 		}
+		failure = s.handleEnd(ends[a])
+		finished = finished || failure == nil
+	}
+	if finished {
+		return nil
 	}
-	s.standby.stop()
 	return failure
 }
 
