End an overtaken attempt before the event is written that overtook it

A server worked on for as long as the caller did not read, up to 10 s, since the other attempt was closed only after the write of the event that had decided between both. Found by review; TestSlowCallerDoesNotKeepOvertakenAttempt failed with 6 s.

--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -184,12 +184,19 @@
 			x.reportEvidence(a.ctx, a.server, a.sentAt, u.resp, nil, true)
 		}
 	}
-	written, failure := s.writeEvent(a, u)
+	id, hasID := eventID(u.event)
+	isNew, failure := s.checkEvent(a, u, id, hasID)
 	if failure != nil {
 		return failure
 	}
-	if written && !u.onlyComments {
-		s.lead(a)
+	if isNew {
+		// The other attempt must end even if the caller takes a while to read this event.
+		if !u.onlyComments {
+			s.lead(a)
+		}
+		if failure := s.writeEvent(u, id, hasID); failure != nil {
+			return failure
+		}
 	}
 	if !u.onlyComments && a == s.leader {
 		s.watchFrom(a.lastEventAt)
@@ -400,15 +407,14 @@
 	return nil
 }
 
-// writeEvent writes one complete event. It skips an event that the caller already received, and
-// returns a failure if an event is missing. It reports whether it wrote the event.
-func (s *streamState) writeEvent(a *streamAttempt, u streamUpdate) (bool, *attemptFailure) {
+// checkEvent reports whether the caller has not received an event yet. It returns a failure if an event before
+// it is missing.
+func (s *streamState) checkEvent(a *streamAttempt, u streamUpdate, id string, hasID bool) (isNew bool, failure *attemptFailure) {
 	x := s.x
-	id, ok := eventID(u.event)
-	if !ok && a.eventsBefore > 0 && s.lastIsNumber && !u.onlyComments {
+	if !hasID && a.eventsBefore > 0 && s.lastIsNumber && !u.onlyComments {
 		return false, &attemptFailure{sent: true, reason: "event-without-id", err: errors.New("event without an ID after " + s.lastID)}
 	}
-	if ok {
+	if hasID {
 		n, err := strconv.ParseInt(id, 10, 64)
 		if err == nil && s.lastIsNumber && n <= s.lastNumber {
 			return false, nil
@@ -421,6 +427,12 @@
 		}
 		s.lastIsNumber, s.lastNumber, s.consecutive = err == nil, n, s.consecutive && follows
 	}
+	return true, nil
+}
+
+// writeEvent writes one complete event.
+func (s *streamState) writeEvent(u streamUpdate, id string, hasID bool) *attemptFailure {
+	x := s.x
 	if s.eventCount == 0 {
 		x.firstEventAt = time.Now()
 		x.setResponseHeader(u.resp)
@@ -431,10 +443,10 @@
 	s.eventCount++
 	x.extendWriteDeadline()
 	if _, err := x.w.Write(u.event); err != nil {
-		return false, &attemptFailure{sent: true, reason: "caller-gone", err: errors.Join(errCallerWrite, err)}
+		return &attemptFailure{sent: true, reason: "caller-gone", err: errors.Join(errCallerWrite, err)}
 	}
-	if ok {
+	if hasID {
 		s.lastID = id
 	}
-	return true, nil
+	return nil
 }
