Give a standby the time of a first event before it counts as silent

A sound standby that still read its prompt was reported as silent, or as failed when it was overtaken, by the shorter pauses that are usual later in a stream. Found by review; TestStandbyHasTimeForItsFirstEvent failed in both cases.

--- a/internal/relayer/standby.go
+++ b/internal/relayer/standby.go
@@ -33,9 +33,6 @@
 	*b = standbySearch{}
 }
 
-// watchFrom makes the server count as silent if it sends no event within the event timeout after t.
-func (s *streamState) watchFrom(t time.Time) { s.watchUntil(t.Add(s.eventTimeout())) }
-
 // watchUntil schedules the next call of handleSilence.
 func (s *streamState) watchUntil(t time.Time) {
 	if !s.x.call.Route.Resumable {
@@ -61,7 +58,7 @@
 	waiting := true
 	for _, a := range s.attempts {
 		silence := now.Sub(a.lastEventAt)
-		if silence < s.eventTimeout() {
+		if silence < s.eventTimeout(a) {
 			waiting = false
 			continue
 		}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -114,7 +114,7 @@
 		s.leader, x.serverID = a, a.server.ID
 	}
 	s.attempts = append(s.attempts, a)
-	s.watchFrom(a.startedAt)
+	s.watchUntil(a.startedAt.Add(s.eventTimeout(a)))
 	go a.run(x, s.updates)
 }
 
@@ -199,7 +199,7 @@
 		}
 	}
 	if !u.onlyComments && a == s.leader {
-		s.watchFrom(a.lastEventAt)
+		s.watchUntil(a.lastEventAt.Add(s.eventTimeout(a)))
 	}
 	if !u.flush {
 		return nil
@@ -330,7 +330,7 @@
 // release returns the slot of an attempt that has ended and reports whether its server failed.
 func (s *streamState) release(a *streamAttempt, resp *sender.Response, failure *attemptFailure, complete bool) {
 	x := s.x
-	wasSilent := time.Since(a.lastEventAt) >= s.eventTimeout()
+	wasSilent := time.Since(a.lastEventAt) >= s.eventTimeout(a)
 	failed := failure != nil && !failure.notRun
 	switch {
 	case failed && x.req.Context().Err() != nil:
@@ -367,10 +367,11 @@
 	}
 }
 
-// eventTimeout returns how long a server may send no event before it counts as silent.
-func (s *streamState) eventTimeout() time.Duration {
+// eventTimeout returns how long the server of an attempt may send no event before it counts as silent. It reads the
+// prompt before its first one, also when it continues a stream.
+func (s *streamState) eventTimeout(a *streamAttempt) time.Duration {
 	route := s.x.call.Route
-	if s.eventCount == 0 {
+	if a.events == 0 {
 		return max(minEventTimeout, firstEventTimeoutObjectives*route.LatencyObjective)
 	}
 	return max(minEventTimeout, eventTimeoutGaps*route.MaxEventGap)
