Keep the search for a standby when the silent server breaks off

A stream lost its place in the queue of another server when its silent server broke off, as the search was ended and begun anew.

--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -121,6 +121,9 @@
 // relay forwards the events of the running attempts. It returns nil when the request is finished, and the
 // last failure once all attempts have failed.
 func (s *streamState) relay(ctx context.Context) *attemptFailure {
+	var failure *attemptFailure
+	// idle is done if no attempt is left that the end of the context would end.
+	var idle <-chan struct{}
 	for {
 		select {
 		case u := <-s.updates:
@@ -133,18 +136,26 @@
 			if ctx.Err() != nil {
 				return s.handleCancel(u)
 			}
-			failure := s.handleEnd(u)
-			if failure == nil {
+			if failure = s.handleEnd(u); failure == nil {
 				return nil
 			}
-			if len(s.attempts) == 0 {
+			if failure.mayCrashServers {
 				s.standby.stop()
-				return failure
 			}
 		case <-s.silent:
 			s.handleSilence(ctx)
 		case offer := <-s.standby.offers:
 			s.handleOffer(ctx, offer)
+		case <-idle:
+			return failure
+		}
+		idle = nil
+		if len(s.attempts) == 0 {
+			if s.standby.offers == nil {
+				return failure
+			}
+			// The search goes on for the next attempt.
+			idle = ctx.Done()
 		}
 	}
 }
