Seek no standby while the retry budget is spent, and give unused slots back without an outcome

A silent stream took a slot each half second and gave it back, 29 in 15 s, as the retry budget was asked after the slot was granted; other callers waited for these slots. An owner also took a probe that was given back, or a standby that was overtaken, for a silent server, and suspended a sound one for up to 8 s. The budget is looked at before a search now, and the owner is told of such slots as it is of withdrawn requests.

--- a/internal/allocator/slot.go
+++ b/internal/allocator/slot.go
@@ -20,13 +20,22 @@
 // returned a complete answer. Only the first call has an effect.
 func (s *Slot) Release(failed, complete bool) {
 	s.releaseOnce.Do(func() {
-		s.allocator.slotsMu.Lock()
-		delete(s.allocator.slots, s.request.ID)
-		s.allocator.slotsMu.Unlock()
+		s.allocator.removeSlot(s)
 		s.reportOutcome(admitter.Outcome{Done: true, Failed: failed, Whole: complete})
 	})
 }
 
+// Cancel gives the slot back without an outcome, as its request shows nothing of the server. Only the first
+// call of Cancel or Release has an effect.
+func (s *Slot) Cancel() {
+	s.releaseOnce.Do(func() {
+		s.allocator.removeSlot(s)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.allocator.sendCancel(s.owner, s.request)
+	})
+}
+
 func (s *Slot) reportOutcome(o admitter.Outcome) {
 	o.Router, o.ID, o.Server = s.allocator.Self.Name, s.request.ID, s.Server.ID
 	s.mu.Lock()
@@ -63,6 +72,12 @@
 	return s
 }
 
+func (a *Allocator) removeSlot(s *Slot) {
+	a.slotsMu.Lock()
+	defer a.slotsMu.Unlock()
+	delete(a.slots, s.request.ID)
+}
+
 // ReportSlotsToNewOwners reports this router's slots to the routers that have become owners
 // of their servers, so that these do not overload the engines.
 func (a *Allocator) ReportSlotsToNewOwners() {
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -94,6 +94,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
+	if !b.hasBudget(w) {
+		return false
+	}
+	w.retries[bucketCount-1]++
+	return true
+}
+
+// MayRetry reports whether AllowRetry would allow a retry now. It counts nothing.
+func (b *Budgeter) MayRetry(now time.Time, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hasBudget(b.window(now, service))
+}
+
+// hasBudget reports whether a retry is left in a window.
+func (b *Budgeter) hasBudget(w *window) bool {
 	requests, retries := 0.0, 0.0
 	for i := range bucketCount {
 		requests += w.requests[i]
@@ -101,9 +117,5 @@
 	}
 	allowed := usableBudgetFraction *
 		(b.Budget.Ratio*requests + b.Budget.Slack/float64(max(1, b.routerCount)))
-	if retries+1 > allowed {
-		return false
-	}
-	w.retries[bucketCount-1]++
-	return true
+	return retries+1 <= allowed
 }
--- a/internal/conductor/assignment.go
+++ b/internal/conductor/assignment.go
@@ -34,7 +34,7 @@
 		if r != nil || n.watcher.Usable(assignment.Server) && !n.isExcluded(assignment.Server) {
 			return assignment, r
 		}
-		assignment.Release(relayer.AttemptResult{})
+		assignment.Release(relayer.AttemptResult{Inconclusive: true})
 		n.log("place-given-back", "request", c.ID, "server", assignment.Server.ID, "why", "it leaves")
 		c.ExcludedServers = append(c.ExcludedServers, assignment.Server.ID)
 	}
@@ -118,7 +118,13 @@
 	}
 	return &relayer.Assignment{
 		Server: slot.Server, ReportFirstEvent: slot.ReportFirstEvent, ReportSilence: slot.ReportSilence,
-		Release: func(result relayer.AttemptResult) { slot.Release(result.Failed || result.Refused, result.Complete) },
+		Release: func(result relayer.AttemptResult) {
+			if result.Inconclusive {
+				slot.Cancel()
+				return
+			}
+			slot.Release(result.Failed || result.Refused, result.Complete)
+		},
 	}, nil
 }
 
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -268,6 +268,7 @@
 		OnServerReplaced: func(server string) { w.RemoveServer(server, "another server answers at its address") },
 		RecordRequest:    func(service string) { b.RecordRequest(time.Now(), service) },
 		AllowRetry:       func(service string) bool { return b.AllowRetry(time.Now(), service) },
+		MayRetry:         func(service string) bool { return b.MayRetry(time.Now(), service) },
 		Shutdown:         n.shutdownWindow, Aborted: n.aborted,
 		Admit:           n.limiter.admit,
 		CheckAdmission:  n.limiter.checkAdmission,
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -60,7 +60,7 @@
 		return nil, false
 	}
 	if !x.recheckConfig() || !x.checkQuarantine() {
-		assignment.Release(AttemptResult{})
+		assignment.Release(AttemptResult{Inconclusive: true})
 		return nil, false
 	}
 	return assignment, true
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -46,6 +46,8 @@
 	RecordRequest func(service string)
 	// AllowRetry reports whether the retry budget of a service permits a retry.
 	AllowRetry func(service string) bool
+	// MayRetry reports whether AllowRetry would permit a retry now, without counting one.
+	MayRetry func(service string) bool
 	// Shutdown returns when the router began to shut down and when it will abort the
 	// remaining requests. Both are zero if it is not shutting down.
 	Shutdown func() (start, end time.Time)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -152,6 +152,7 @@
 			tr.retriesLeft--
 			return tr.retriesLeft >= 0
 		},
+		MayRetry: func(string) bool { return tr.retriesLeft > 0 },
 		Shutdown: func() (time.Time, time.Time) {
 			if tr.shutdownAge == 0 {
 				return time.Time{}, time.Time{}
--- a/internal/relayer/standby.go
+++ b/internal/relayer/standby.go
@@ -85,7 +85,8 @@
 	if !s.attempts[0].counted {
 		sent++
 	}
-	return sent < x.call.Route.MaxAttempts && len(x.call.ExcludedServers) < maxServersTried && x.mayContinue(x.CurrentConfig())
+	return sent < x.call.Route.MaxAttempts && len(x.call.ExcludedServers) < maxServersTried &&
+		x.MayRetry(x.call.Service.Name) && x.mayContinue(x.CurrentConfig())
 }
 
 // seekStandby asks for a server in the background.
@@ -106,7 +107,7 @@
 		case offers <- standbyOffer{assignment, refusal}:
 		case <-ctx.Done():
 			if assignment != nil {
-				assignment.Release(AttemptResult{})
+				assignment.Release(AttemptResult{Inconclusive: true})
 			}
 		}
 	}()
@@ -119,16 +120,16 @@
 	reason := ""
 	if offer.refusal != nil {
 		reason = offer.refusal.Reason
-	} else if _, refused := x.quarantineVerdict(); refused {
-		reason = reasonRequestQuarantined
 	} else if !x.mayContinue(x.CurrentConfig()) {
 		reason = "configuration"
+	} else if _, refused := x.quarantineVerdict(); refused {
+		reason = reasonRequestQuarantined
 	} else if !x.AllowRetry(x.call.Service.Name) {
 		reason = "retry-budget"
 	}
 	if reason != "" {
 		if offer.assignment != nil {
-			offer.assignment.Release(AttemptResult{})
+			offer.assignment.Release(AttemptResult{Inconclusive: true})
 		}
 		x.Log("standby-refused", "request", x.call.ID, "server", s.leader.server.ID, "reason", reason,
 			"silent-ms", time.Since(s.leader.lastEventAt).Milliseconds())
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -342,13 +342,13 @@
 func (s *streamState) release(a *streamAttempt, resp *sender.Response, failure *attemptFailure, complete bool) {
 	x := s.x
 	wasSilent := time.Since(a.lastEventAt) >= s.eventTimeout(a)
-	failed := failure != nil && !failure.notRun
+	failed, inconclusive := failure != nil && !failure.notRun, false
 	switch {
 	case failed && x.req.Context().Err() != nil:
 		// If the caller disconnects, the server has failed only if it was silent from the start.
 		failed = a.events == 0 && wasSilent
 	case failed && (errors.Is(failure.err, errOvertaken) || errors.Is(failure.err, errFinished)):
-		failed = wasSilent
+		failed, inconclusive = wasSilent, !wasSilent && a.events == 0
 	case failed:
 		failed = !errors.Is(failure.err, errCallerWrite)
 	case failure == nil:
@@ -356,7 +356,7 @@
 	}
 	a.assignment.Release(AttemptResult{
 		// A silence is reported once.
-		Failed:  failed && !a.silent && !x.isAborted(),
+		Failed: failed && !a.silent && !x.isAborted(), Inconclusive: inconclusive,
 		Refused: failure != nil && failure.notRun && failure.sent, Duration: time.Since(a.startedAt),
 		Complete: complete && a.eventsBefore == 0,
 	})
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -115,6 +115,9 @@
 type AttemptResult struct {
 	// Failed is true if the server failed, unless that was reported as its silence.
 	Failed bool
+	// Inconclusive is true if the attempt shows nothing of the server, as it was not sent, or ended because another one
+	// went on.
+	Inconclusive bool
 	// Refused is true if the server received the request and did not run it.
 	Refused bool
 	// Complete is true if this attempt received a streamed response from its beginning to its
