Flush an event though a part of the next one has arrived

Callers got a whole event only when its server went on within the next one, up to two seconds later, as events were held back while any bytes were buffered. Found by review; TestStallWithinEventDelaysNoOtherEvent failed with 900 ms.

--- a/internal/relayer/stream_attempt.go
+++ b/internal/relayer/stream_attempt.go
@@ -49,7 +49,7 @@
 	event   []byte
 	// onlyComments is true if the event is a block of comments.
 	onlyComments bool
-	// flush is true if no further event has been received yet.
+	// flush is true if no further whole event has been received yet.
 	flush bool
 	end   *attemptEnd
 }
@@ -91,6 +91,13 @@
 	updates <- streamUpdate{attempt: a, end: end}
 }
 
+// holdsEvent reports whether the end of an event is buffered.
+func holdsEvent(br *bufio.Reader) bool {
+	// What is buffered can always be peeked at.
+	buffered, _ := br.Peek(br.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
+
 // readEvents passes on each event as soon as it is complete. No part of a truncated event is passed on, so
 // that the stream can be resumed after the last complete one.
 func (a *streamAttempt) readEvents(x *exchange, resp *sender.Response, updates chan<- streamUpdate) *attemptFailure {
@@ -131,7 +138,7 @@
 			events++
 		}
 		updates <- streamUpdate{
-			attempt: a, resp: resp, event: event, onlyComments: onlyComments, flush: br.Buffered() == 0,
+			attempt: a, resp: resp, event: event, onlyComments: onlyComments, flush: !holdsEvent(br),
 		}
 		event, forwarded = forwarded[:0], event
 	}
