Count the silence of a plain server as its failure

A server of a plain service that never answered a stream counted as successful since silences are reported apart from the end of an attempt, and went on getting streams. Found by review; TestSilentPlainServerIsAvoided failed.

--- a/internal/conductor/assignment.go
+++ b/internal/conductor/assignment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"papayapaddle/internal/admitter"
@@ -68,12 +69,7 @@
 		}
 		refusal := n.awaitStart(ctx, c, s, len(unlimited) == 0 && !c.Standby)
 		if refusal == nil {
-			return &relayer.Assignment{
-				Server: s, ReportFirstEvent: func() {}, ReportSilence: func() {},
-				Release: func(result relayer.AttemptResult) {
-					n.balancer.RequestDone(time.Now(), s.ID, result.Failed, result.Refused, result.Duration)
-				},
-			}, nil
+			return n.plainAssignment(s), nil
 		}
 		n.balancer.RequestDone(time.Now(), s.ID, false, true, 0)
 		if refused == nil || refusal.RetryAfter < refused.RetryAfter {
@@ -93,6 +89,18 @@
 	return nil, &relayer.Refusal{Reason: "no-server", RetryAfter: noServerRetryAfter, LogFields: []any{"tried", len(c.ExcludedServers)}}
 }
 
+// plainAssignment returns the assignment of a server of a plain service. A server that is silent at the end of the attempt
+// has failed.
+func (n *node) plainAssignment(s *cataloger.Server) *relayer.Assignment {
+	var silent atomic.Bool
+	return &relayer.Assignment{
+		Server: s, ReportFirstEvent: func() { silent.Store(false) }, ReportSilence: func() { silent.Store(true) },
+		Release: func(result relayer.AttemptResult) {
+			n.balancer.RequestDone(time.Now(), s.ID, result.Failed || silent.Load(), result.Refused, result.Duration)
+		},
+	}
+}
+
 // awaitStart asks the owner of a plain server with a limit whether a call may start there now or, if it may
 // wait, in time. It returns nil if the call may start, or the server has no limit.
 func (n *node) awaitStart(ctx context.Context, c *relayer.Call, s *cataloger.Server, mayWait bool) *allocator.Refusal {
