End only the request when an attempt panics

A panic of the goroutine in which an attempt reads would have ended the router, as net/http recovers those of handlers only. Found by review, none was seen. TestPanicInAttemptEndsOnlyItsRequest panicked before.

--- a/internal/relayer/standby_test.go
+++ b/internal/relayer/standby_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"papayapaddle/internal/cataloger"
+	"papayapaddle/internal/sender"
 )
 
 // standbyRun is what happened to a request for a stream whose first server is silent.
@@ -123,3 +124,14 @@
 	c.Assert(r.cut, qt.IsTrue)
 	c.Assert(r.assignments, qt.Equals, 1)
 }
+
+// Guards against a router that ends because an attempt panics on what a server sent.
+func TestPanicInAttemptEndsOnlyItsRequest(t *testing.T) {
+	c := qt.New(t)
+	r := runStandby(t, map[string]string{"s1": streamHead + event1}, func(tr *testRelayer, _ *cataloger.Route) {
+		tr.retriesLeft = 0
+		tr.relayer.Send = func(context.Context, *sender.Request) (*sender.Response, error) { panic("odd response") }
+	})
+	c.Assert(r.body, qt.Equals, "")
+	c.Assert(r.results, qt.HasLen, 1)
+}
--- a/internal/relayer/stream_attempt.go
+++ b/internal/relayer/stream_attempt.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -78,6 +79,14 @@
 // run sends the request and passes on what the server responds. The last update has an end.
 func (a *streamAttempt) run(x *exchange, updates chan<- streamUpdate) {
 	end := &attemptEnd{}
+	defer func() {
+		// Unlike those of handlers, net/http does not recover a panic of this goroutine, which would end the router.
+		if p := recover(); p != nil {
+			x.Log("panic", "request", x.call.ID, "server", a.server.ID, "err", p, "stack", string(debug.Stack()))
+			end.failure = &attemptFailure{sent: true, reason: "panic", err: errPanic}
+		}
+		updates <- streamUpdate{attempt: a, end: end}
+	}()
 	end.resp, end.failure = x.sendRequest(a.ctx, a.server, a.request)
 	switch resp := end.resp; {
 	case end.failure != nil:
@@ -88,9 +97,10 @@
 		end.failure = a.readEvents(x, resp, updates)
 	}
 	end.drained = end.failure != nil && end.failure.notRun && end.resp != nil && drain(end.resp)
-	updates <- streamUpdate{attempt: a, end: end}
 }
 
+var errPanic = errors.New("panic in an attempt")
+
 // holdsEvent reports whether the end of an event is buffered.
 func holdsEvent(br *bufio.Reader) bool {
 	// What is buffered can always be peeked at.
