Send a non-idempotent model request no second time after a refused resumption

A stream that is silent for 1.2 s is resumed with a GET on its engine. If the engine refused that GET with one of its not-run statuses, the refusal was taken for that of the request: a non-idempotent request whose first run was under way was sent three more times, and its caller was told not-run.

A refusal of a resumption now means only that the stream is not resumed.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -124,7 +124,7 @@
 // backend server, the table command sets the state of the table service, and the call command sends
 // a request and prints the response and the outcome.
 func TestDispatchScenarios(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/outcomes", func(t *testing.T, path string) {
 		var f *fixture
 		n := 0
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
--- a/internal/forwarder/streamer.go
+++ b/internal/forwarder/streamer.go
@@ -146,6 +146,10 @@
 	}
 	defer x.close()
 	if err := checkResponse(x.resp, r.server, req); err != nil {
+		if r.stats.Resumes > 0 && failer.KindOf[Kind](err) == KindRefused {
+			// The server refused to resume the stream, but may have executed the original request.
+			return nil, failer.Wrap("resume "+req.ID, KindStreamNotFound, err)
+		}
 		return nil, err
 	}
 	if x.resp.StatusCode != http.StatusOK {
