--- a/internal/forwarder/streamer.go
+++ b/internal/forwarder/streamer.go
@@ -119,8 +119,9 @@
 		return false
 	}
 	// After a stall without any event, the engine may only be slow to produce its first token.
-	// Resuming at offset 0 then continues the run instead of starting it again.
-	resumable := r.offset > 0 || kind == KindStalled
+	// Resuming at offset 0 then continues the run instead of starting it again. It would repeat
+	// events that have no numbers.
+	resumable := r.offset > 0 || kind == KindStalled && r.stats.Tokens == 0
 	return resumable && r.stats.Resumes < maxResumes && ctx.Err() == nil
 }
 
