Keep a silent attempt until another one answers or the deadline passes

Callers of plain services lost answers of sound servers: an idempotent request was given up 1.2 s after it was sent, before it was known whether the retry budget, another attempt and a slot were to be had, and a connection attempt of any request after 1 s.

Forwarder.Forward no longer ends a request that is silent; it reports the silence. The dispatcher then starts another attempt beside those in flight if all are silent and attempts, retry budget and a slot allow. The first complete response wins and ends the others before its slot is freed. A refused slot or a failed second attempt leaves the first as it is. Any progress of the body ends the silence, so that a body that is slow for longer than 1.2 s is not sent for again. Connections are dialed until the request ends; a non-idempotent request may be dialed for at two servers, but only the attempt that takes the right to send it, just before the claim, writes it.

The budget pays for each attempt beside another. The workspace is charged for each attempt that may have run, as for a retry before; an attempt that lost while silent counts as a failure of its server, as before, one that lost while it was not silent does not. The kind's cost is learned from the winner only.

Two races of the deadline that 60 runs found are mended with it: a retry after the deadline changed the title that the caller is told, and a slot that came with the end of the call was reported as a failure of its server.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -168,6 +167,18 @@
 	d      *Dispatcher
 	writer ResponseWriter
 	result Result
+	// silence holds a value after an attempt has become silent.
+	silence chan struct{}
+	// ended receives each attempt when it ends.
+	ended chan *attempt
+
+	// mu guards the state that attempts share, result.StreamStarted and the fields of attempts that say so.
+	mu sync.Mutex
+	// attempts are the attempts in flight.
+	attempts map[*attempt]bool
+	// sender is the attempt that has the right to send a non-idempotent request.
+	sender *attempt
+
 	// claim is the claim of the idempotency key once this call owns it.
 	claim *claimer.Claim
 	// lostClaim is the claim decision if an earlier call owns the key.
@@ -184,7 +195,10 @@
 func (d *Dispatcher) Do(ctx context.Context, request *Request, w ResponseWriter) Result {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	c := &call{Request: request, d: d, writer: w}
+	c := &call{
+		Request: request, d: d, writer: w,
+		silence: make(chan struct{}, 1), ended: make(chan *attempt, maxAttempts), attempts: map[*attempt]bool{},
+	}
 	d.retryBudget.RecordRequest()
 	if c.needsClaim() {
 		if err := d.Claimer.CheckStore(time.Now()); err != nil {
@@ -234,8 +248,8 @@
 // run repeats attempts until the request has an outcome.
 func (c *call) run(ctx context.Context) Result {
 	for {
-		c.result.Attempts++
-		err := c.attempt(ctx)
+		c.start(ctx)
+		err := c.await(ctx)
 		if err == nil {
 			c.result.Outcome = OutcomeComplete
 			return c.result
@@ -253,27 +267,6 @@
 	}
 }
 
-// attempt acquires a slot and sends the request once.
-func (c *call) attempt(ctx context.Context) error {
-	start := time.Now()
-	slot, err := c.d.Slots.Acquire(ctx, c.slotRequest())
-	c.result.SlotWait += time.Since(start)
-	if err != nil {
-		return err
-	}
-	backend := c.d.Config().BackendServers[slot.Server]
-	if backend == nil {
-		c.d.Slots.Release(slot, encoder.Release{})
-		return failer.New("dispatch", forwarder.KindNotSent, "the backend server was withdrawn")
-	}
-	c.result.Server = backend.Name
-	server := forwarder.Server{Name: backend.Name, Address: backend.Address, NotRunStatuses: backend.NotRunStatuses}
-	if c.Model != "" {
-		return c.forwardModel(ctx, slot, server)
-	}
-	return c.forwardService(ctx, slot, server)
-}
-
 func (c *call) slotRequest() scheduler.Request {
 	var urgency declarer.Urgency
 	if c.Kind != nil {
@@ -289,18 +282,6 @@
 	}
 }
 
-func (c *call) forwardRequest(slot scheduler.Slot) forwarder.Request {
-	req := forwarder.Request{
-		ID: c.ID, Method: c.Method, Path: c.Path, Header: c.Header, Body: c.Body, Idempotent: c.isIdempotent(),
-	}
-	if c.d.Slots.ReportLimit != nil {
-		// The answer of an incarnation says nothing of the next one.
-		incarnation := c.d.Slots.Incarnation(slot.Server)
-		req.OnHeader = func(status int, h http.Header) { c.reportNotices(slot, incarnation, status, h) }
-	}
-	return req
-}
-
 // reportNotices reports what a response says of its server.
 func (c *call) reportNotices(slot scheduler.Slot, incarnation uint64, status int, h http.Header) {
 	perSecond, named := forwarder.DecodeLimit(h)
@@ -319,69 +300,20 @@
 	}
 }
 
-// releaseSlot releases the slot and reports the cost and result of the attempt to its owner.
-func (c *call) releaseSlot(slot scheduler.Slot, err error, cost float64, stats forwarder.StreamStats) {
-	kind := failer.KindOf[forwarder.Kind](err)
-	release := encoder.Release{
-		Failed: err != nil && kind != forwarder.KindCallerGone && !errors.Is(err, errClaimNotWon),
-	}
-	notRun := kind == forwarder.KindNotSent || kind == forwarder.KindRefused || errors.Is(err, errClaimNotWon)
-	if !notRun {
-		c.mayHaveRun = true
-		release.Cost = uint32(max(1, min(cost, estimator.MaxCost)))
-		c.result.Cost += cost
-	}
-	release.FirstMillis = uint32(stats.TimeToFirstToken.Milliseconds())
-	release.BetweenMillis = uint32(stats.MeanTokenInterval.Milliseconds())
-	c.d.Slots.Release(slot, release)
-}
-
-// forwardModel forwards a model request. The engine is always asked for a stream, so that a
-// stalled connection is detected early. For a caller that did not request a stream, the events
-// are combined into one response.
-func (c *call) forwardModel(ctx context.Context, slot scheduler.Slot, server forwarder.Server) error {
-	var aggregator forwarder.StreamAggregator
-	tokens := 0
-	onEvent := func(e forwarder.Event) error {
-		tokens++
-		if e.Offset > 0 {
-			tokens = e.Offset
-		}
-		if !c.Stream {
-			return aggregator.AddEvent(e)
-		}
-		c.result.StreamStarted = true
-		return c.writer.WriteEvent(e)
-	}
-	response, stats, err := c.d.Forwarder.ForwardStream(ctx, server, c.forwardRequest(slot), onEvent)
-	c.result.Stats = stats
-	c.releaseSlot(slot, err, c.PromptTokens+float64(tokens), stats)
-	if err != nil {
-		return err
-	}
-	if response != nil {
-		return c.writer.WriteResponse(response.Status, response.Header, response.Body)
-	}
-	c.observeCost(float64(tokens))
-	if c.Stream {
-		return c.writer.EndStream()
-	}
-	header := http.Header{"Content-Type": {"application/json"}}
-	return c.writer.WriteResponse(http.StatusOK, header, aggregator.ResponseBody(c.ID, c.Model, tokens))
-}
-
 // mayRetry reports whether the request may be sent again. A non-idempotent request is sent again
 // only if it was certainly not executed.
 func (c *call) mayRetry(ctx context.Context, err error) bool {
 	if c.result.StreamStarted || c.result.Attempts >= maxAttempts || ctx.Err() != nil {
 		return false
 	}
+	// The detached context of a non-idempotent request may end just before ctx.
+	if !time.Now().Before(c.Deadline) || c.mayHaveRun && !c.isIdempotent() {
+		return false
+	}
 	switch failer.KindOf[forwarder.Kind](err) {
-	case forwarder.KindNotSent, forwarder.KindRefused:
+	case forwarder.KindNotSent, forwarder.KindRefused, forwarder.KindResponseLost, forwarder.KindStalled,
+		forwarder.KindResponseMismatch, forwarder.KindStreamNotFound:
 		return c.d.retryBudget.AllowRetry()
-	case forwarder.KindResponseLost, forwarder.KindStalled, forwarder.KindResponseMismatch,
-		forwarder.KindStreamNotFound:
-		return c.isIdempotent() && c.d.retryBudget.AllowRetry()
 	}
 	return false
 }
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -16,29 +16,37 @@
 var errClaimNotWon = errors.New("the claim was not won")
 
 // forwardService forwards a request to a plain service.
-func (c *call) forwardService(ctx context.Context, slot scheduler.Slot, server forwarder.Server) error {
-	request := c.forwardRequest(slot)
-	if !c.isIdempotent() {
+func (a *attempt) forwardService(ctx context.Context, slot scheduler.Slot, server forwarder.Server) error {
+	if !a.isIdempotent() {
 		// A non-idempotent request continues after the caller disconnects, so that its
 		// response can be recorded.
-		deadline := c.Deadline
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline)
+		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), a.Deadline)
 		defer cancel()
-	}
-	if c.needsClaim() && c.claim == nil {
-		request.BeforeSend = c.acquireClaim
+		defer context.AfterFunc(ctx, func() { a.cancelSuperseded(cancel) })()
+		ctx = detached
 	}
 	start := time.Now()
-	response, err := c.d.Forwarder.Forward(ctx, server, request)
+	response, err := a.d.Forwarder.Forward(ctx, server, a.forwardRequest(slot))
 	cost := float64(time.Since(start).Milliseconds())
-	c.releaseSlot(slot, err, cost, forwarder.StreamStats{})
+	a.releaseSlot(slot, err, cost, forwarder.StreamStats{})
 	if err != nil {
 		return err
 	}
-	c.observeCost(cost)
-	c.recordResponse(response)
-	return c.writer.WriteResponse(response.Status, response.Header, response.Body)
+	a.write = func() error {
+		a.observeCost(cost)
+		a.recordResponse(response)
+		return a.writer.WriteResponse(response.Status, response.Header, response.Body)
+	}
+	return nil
+}
+
+// cancelSuperseded calls cancel if another attempt goes on.
+func (a *attempt) cancelSuperseded(cancel context.CancelFunc) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.superseded {
+		cancel()
+	}
 }
 
 func (c *call) claimKey() claimer.Key {
--- a/internal/dispatcher/silence_test.go
+++ b/internal/dispatcher/silence_test.go
@@ -64,7 +64,7 @@
 // requests separated by semicolons.
 func newPausingFleet(input string) *pausingFleet {
 	f := &pausingFleet{
-		scripts: map[string][]string{}, dialUntil: map[string]time.Duration{}, freed: make(chan struct{}),
+		scripts: map[string][]string{}, dialUntil: map[string]time.Duration{},
 		busy: map[string]bool{}, withdrawn: map[string]bool{}, received: map[string]int{},
 	}
 	for line := range strings.Lines(strings.TrimSpace(input)) {
@@ -120,6 +120,9 @@
 		f.mu.Lock()
 		freed := f.freed
 		for range f.names {
+			if ctx.Err() != nil {
+				break
+			}
 			i := f.nextServer
 			f.nextServer = (f.nextServer + 1) % len(f.names)
 			if name := f.names[i]; !f.busy[name] && !f.withdrawn[name] {
@@ -288,6 +291,7 @@
 	f.stopped, stop = context.WithCancel(t.Context())
 	defer stop()
 	f.startedAt = time.Now()
+	f.freed = make(chan struct{})
 	f.refuse = data.HasArg("refuse")
 	platform := emulator.NewPlatform(1)
 	store := &connector.Client{BaseURL: "http://platform", HTTP: &http.Client{Transport: handlerTransport{platform}}}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -48,10 +48,8 @@
 type Error = failer.Error[Kind]
 
 const (
-	// dialTimeout bounds the time to connect to a backend server.
-	dialTimeout = time.Second
-	// StallTimeout bounds the time to the complete response of an idempotent request, and the
-	// time between two events of a stream. After that, the connection is considered dead.
+	// StallTimeout is the time without progress after which a connection is considered silent. Its
+	// server may be sound and go on.
 	StallTimeout = 1200 * time.Millisecond
 	// MaxBufferedBytes is the size of the largest response that is buffered.
 	MaxBufferedBytes = 4 << 20
@@ -138,6 +136,9 @@
 	BeforeSend func(ctx context.Context) error
 	// OnHeader, if not nil, is called for the status and header of each response to the request.
 	OnHeader func(status int, h http.Header)
+	// OnSilence, if not nil, is called with true after each StallTimeout without progress, and with
+	// false once the response goes on. The request goes on meanwhile.
+	OnSilence func(silent bool)
 }
 
 // Response is a complete response.
@@ -157,8 +158,6 @@
 }
 
 func (f *Forwarder) dial(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	if f.Dial != nil {
 		return f.Dial(ctx, "tcp", address)
 	}
@@ -166,6 +165,20 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// requestContextKey is the key of the context of the request that a transport dials for.
+type requestContextKey struct{}
+
+// dialForRequest dials until the request ends, from whose context http.Transport detaches ctx.
+func (f *Forwarder) dialForRequest(ctx context.Context, address string) (net.Conn, error) {
+	if request, ok := ctx.Value(requestContextKey{}).(context.Context); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(request, cancel)()
+	}
+	return f.dial(ctx, address)
+}
+
 // transport returns the transport that pools the connections to an address.
 func (f *Forwarder) transport(address string) *http.Transport {
 	f.mu.Lock()
@@ -176,7 +189,7 @@
 	transport := f.transports[address]
 	if transport == nil {
 		transport = &http.Transport{
-			DialContext:         func(ctx context.Context, _, a string) (net.Conn, error) { return f.dial(ctx, a) },
+			DialContext:         func(ctx context.Context, _, a string) (net.Conn, error) { return f.dialForRequest(ctx, a) },
 			MaxIdleConnsPerHost: maxIdleConnsPerServer,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
@@ -238,7 +251,7 @@
 // sendPooled sends an idempotent request on a pooled connection. It may write the request more
 // than once.
 func (f *Forwarder) sendPooled(ctx context.Context, s Server, req Request) (*exchange, error) {
-	httpReq, err := newHTTPRequest(ctx, s, req)
+	httpReq, err := newHTTPRequest(context.WithValue(ctx, requestContextKey{}, ctx), s, req)
 	if err != nil {
 		return nil, failer.Wrap("forward", KindNotSent, err)
 	}
@@ -346,24 +359,22 @@
 // Forward sends a request and returns the complete response. A response of more than
 // MaxBufferedBytes is an error.
 func (f *Forwarder) Forward(ctx context.Context, s Server, req Request) (Response, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	if req.Idempotent {
-		// Only an idempotent request is canceled early, since it can be sent again.
-		stallTimer := time.AfterFunc(StallTimeout, func() { cancel(errStalled) })
-		defer stallTimer.Stop()
-	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := watchSilence(func(silent bool) { f.reportSilence(s, req, silent) })
+	defer watch.stop()
 	x, err := f.send(ctx, s, req)
 	if err != nil {
-		return Response{}, f.classifyError(ctx, s, err)
+		return Response{}, err
 	}
 	defer x.close()
+	watch.progress()
 	if err := checkResponse(x.resp, s, req); err != nil {
 		return Response{}, err
 	}
-	body, err := io.ReadAll(io.LimitReader(x.resp.Body, MaxBufferedBytes+1))
+	body, err := io.ReadAll(io.LimitReader(progressReader{x.resp.Body, watch}, MaxBufferedBytes+1))
 	if err != nil {
-		return Response{}, f.classifyError(ctx, s, failer.Wrap("forward", KindResponseLost, err))
+		return Response{}, failer.Wrap("forward", KindResponseLost, err)
 	}
 	if len(body) > MaxBufferedBytes {
 		return Response{}, failer.New(
@@ -372,6 +383,17 @@
 	return Response{Status: x.resp.StatusCode, Header: x.resp.Header, Body: body}, nil
 }
 
+// reportSilence reports that a request is silent or goes on. After a silence it closes the idle
+// connections to the server, so that the next request uses a new one.
+func (f *Forwarder) reportSilence(s Server, req Request, silent bool) {
+	if silent && req.Idempotent {
+		f.CloseIdle(s.Address)
+	}
+	if req.OnSilence != nil {
+		req.OnSilence(silent)
+	}
+}
+
 var errStalled = failer.New("forward", KindStalled, "no answer within "+StallTimeout.String())
 
 // classifyError returns errStalled if the stall timer canceled the context, and err otherwise.
