Do not answer with a server error while a silent attempt goes on

A 5xx response of the second attempt ended the first one, whose server was only silent. Such a response is now held until no attempt is left that may answer; without other attempts it is passed on at once, as before.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -41,8 +41,9 @@
 	mayHaveRun bool
 	cost       float64
 	stats      forwarder.StreamStats
-	// write writes the response to the caller if err is nil.
-	write func() error
+	// status and write are the status of the response and what writes it to the caller, if err is nil.
+	status int
+	write  func() error
 }
 
 // start starts an attempt.
@@ -86,9 +87,11 @@
 }
 
 // await returns nil once the response of an attempt was written. It returns the error of the last attempt if all have
-// failed. The attempts that are silent go on until then, or until the deadline.
+// failed. The attempts that are silent go on until then, or until the deadline. A response that reports an error of its
+// server is written only if no other attempt has one.
 func (c *call) await(ctx context.Context) error {
 	var err error
+	var serverError *attempt
 	for len(c.attempts) > 0 {
 		select {
 		case <-c.silence:
@@ -101,11 +104,16 @@
 				// That an attempt beside another one got no slot is not why the request failed.
 			case a.err != nil:
 				err = a.err
+			case a.isServerError() && len(c.attempts) > 0:
+				serverError = a
 			default:
 				return c.complete(a)
 			}
 		}
 	}
+	if serverError != nil {
+		return c.complete(serverError)
+	}
 	return err
 }
 
@@ -133,6 +141,9 @@
 	return a.superseded
 }
 
+// isServerError reports whether the response reports an error of its server.
+func (a *attempt) isServerError() bool { return a.status >= http.StatusInternalServerError }
+
 // takeLead ends all other attempts because this one goes on. It returns false if another one took the lead before. call.mu
 // must be held.
 func (a *attempt) takeLead() bool {
@@ -242,10 +253,10 @@
 }
 
 // releaseSlot releases the slot and reports the cost and result of the attempt to its owner. The workspace pays for each
-// attempt. A successful attempt first ends the others, which may wait for the slot.
+// attempt. One that has succeeded first ends the others, which may wait for the slot.
 func (a *attempt) releaseSlot(slot scheduler.Slot, err error, cost float64, stats forwarder.StreamStats) {
 	a.mu.Lock()
-	if err == nil {
+	if err == nil && !a.isServerError() {
 		a.takeLead()
 	}
 	endedByUs := a.superseded && !a.silent
@@ -286,6 +297,9 @@
 		return a.writer.WriteEvent(e)
 	}
 	response, stats, err := a.d.Forwarder.ForwardStream(ctx, server, a.forwardRequest(slot), onEvent)
+	if response != nil {
+		a.status = response.Status
+	}
 	a.releaseSlot(slot, err, a.PromptTokens+float64(tokens), stats)
 	switch {
 	case err != nil:
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -28,6 +28,7 @@
 	start := time.Now()
 	response, err := a.d.Forwarder.Forward(ctx, server, a.forwardRequest(slot))
 	cost := float64(time.Since(start).Milliseconds())
+	a.status = response.Status
 	a.releaseSlot(slot, err, cost, forwarder.StreamStats{})
 	if err != nil {
 		return err
--- a/internal/dispatcher/silence_test.go
+++ b/internal/dispatcher/silence_test.go
@@ -255,6 +255,8 @@
 		text = head("200 OK", "Content-Length: 6") + "from " + name
 	case "busy":
 		text = head("429 Too Many Requests", "Content-Length: 0")
+	case "error":
+		text = head("500 Internal Server Error", "Content-Length: 0")
 	case "gone":
 		text = head("404 Not Found", "Content-Length: 0")
 	case "stream":
