Resume a silent stream beside its connection, not instead of it

A model's stream that was silent for 1.2 s lost its connection before it was known whether a resumption reaches the run.

The connections of a stream are now read side by side. After each 1.2 s of silence the stream is resumed on one more connection (five at most, as before); the one over which a new event comes first stays, the others are closed at once. All continue the run of one request at one engine, so no second run is read, and a GET is no second attempt: it draws on no budget and is made for non-idempotent requests too, as before. A resumption that fails or finds nothing leaves the silent connection as it is.

If the stream can't be resumed (not found, or five times without an event) and no event was relayed, the dispatcher starts another attempt beside it, on another engine: a second run with the same ID on one engine would be taken for the first by a resumption.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -311,7 +311,7 @@
 		return false
 	}
 	switch failer.KindOf[forwarder.Kind](err) {
-	case forwarder.KindNotSent, forwarder.KindRefused, forwarder.KindResponseLost, forwarder.KindStalled,
+	case forwarder.KindNotSent, forwarder.KindRefused, forwarder.KindResponseLost,
 		forwarder.KindResponseMismatch, forwarder.KindStreamNotFound:
 		return c.d.retryBudget.AllowRetry()
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -32,9 +32,6 @@
 	// KindResponseLost means that the request may have been executed, but no complete response
 	// was received.
 	KindResponseLost Kind = "answer lost"
-	// KindStalled means that the request may have been executed, but its response, or the next
-	// event of its stream, was not received within StallTimeout.
-	KindStalled Kind = "connection silent"
 	// KindResponseMismatch means that the response carries the ID of another request.
 	KindResponseMismatch Kind = "answer to another request"
 	// KindStreamNotFound means that the engine cannot resume the stream.
@@ -137,7 +134,8 @@
 	// OnHeader, if not nil, is called for the status and header of each response to the request.
 	OnHeader func(status int, h http.Header)
 	// OnSilence, if not nil, is called with true after each StallTimeout without progress, and with
-	// false once the response goes on. The request goes on meanwhile.
+	// false once the response goes on. The request goes on meanwhile. A stream is silent only if it
+	// can't be resumed.
 	OnSilence func(silent bool)
 }
 
@@ -393,15 +391,3 @@
 		req.OnSilence(silent)
 	}
 }
-
-var errStalled = failer.New("forward", KindStalled, "no answer within "+StallTimeout.String())
-
-// classifyError returns errStalled if the stall timer canceled the context, and err otherwise.
-// After a stall it closes the idle connections to the server.
-func (f *Forwarder) classifyError(ctx context.Context, s Server, err error) error {
-	if context.Cause(ctx) == errStalled {
-		f.CloseIdle(s.Address)
-		return errStalled
-	}
-	return err
-}
--- a/internal/forwarder/streamer.go
+++ b/internal/forwarder/streamer.go
@@ -4,11 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"papayapaddle/internal/failer"
@@ -81,7 +81,8 @@
 	return Event{}, false
 }
 
-// resumableStream is a stream that may be received over several connections.
+// resumableStream is a stream that may be received over several connections of one run. A silent
+// connection stays open beside those that resume the stream, until the stream goes on over one of them.
 type resumableStream struct {
 	forwarder *Forwarder
 	server    Server
@@ -93,77 +94,204 @@
 	startedAt    time.Time
 	firstTokenAt time.Time
 	lastTokenAt  time.Time
+
+	// conns are the open connections.
+	conns    map[*streamConn]bool
+	arrivals chan arrival
+	// closed is closed when the stream has ended.
+	closed    chan struct{}
+	receivers sync.WaitGroup
+	// silence fires when the stream has not gone on for StallTimeout.
+	silence *time.Timer
+	silent  bool
+}
+
+// streamConn is a connection over which a stream is received.
+type streamConn struct {
+	// resumes reports whether the connection resumes the stream.
+	resumes bool
+	cancel  context.CancelFunc
+}
+
+// arrival is what a connection received: an event, a response with another status than 200, or the
+// error that ended it.
+type arrival struct {
+	conn     *streamConn
+	event    Event
+	response *Response
+	err      error
 }
 
 // ForwardStream sends a model request and passes each event of the response stream to the handler.
-// If the connection breaks or stalls, it resumes the stream on the same engine. The error is nil
+// If the connection breaks or is silent, it resumes the stream on the same engine. The error is nil
 // only after the [DONE] event. A response with another status than 200 is returned as a Response.
 func (f *Forwarder) ForwardStream(
 	ctx context.Context, s Server, req Request, handler EventHandler,
 ) (*Response, StreamStats, error) {
-	r := &resumableStream{forwarder: f, server: s, request: req, handler: handler, startedAt: time.Now()}
-	response, err := r.attempt(ctx, req)
-	for err != nil && r.canResume(ctx, err) {
-		r.stats.Resumes++
-		_, err = r.attempt(ctx, r.resumeRequest())
+	r := &resumableStream{
+		forwarder: f, server: s, request: req, handler: handler, startedAt: time.Now(),
+		conns: map[*streamConn]bool{}, arrivals: make(chan arrival), closed: make(chan struct{}),
+		silence: time.NewTimer(StallTimeout),
 	}
+	response, err := r.run(ctx)
 	r.finishStats()
 	return response, r.stats, err
 }
 
-// canResume reports whether the stream can be resumed: the connection failed, and the offset to
-// resume from is known.
-func (r *resumableStream) canResume(ctx context.Context, err error) bool {
-	kind := failer.KindOf[Kind](err)
-	if kind != KindResponseLost && kind != KindStalled {
-		return false
+// run opens the first connection and relays what arrives over this one and those that resume it.
+func (r *resumableStream) run(ctx context.Context) (*Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		cancel()
+		r.silence.Stop()
+		close(r.closed)
+		r.receivers.Wait()
+	}()
+	r.open(ctx, r.request, false)
+	for {
+		select {
+		case <-r.silence.C:
+			r.handleSilence(ctx)
+		case a := <-r.arrivals:
+			if !r.conns[a.conn] {
+				continue
+			}
+			if a.response != nil {
+				return a.response, nil
+			}
+			if a.err == nil {
+				done, err := r.relay(a)
+				if done || err != nil {
+					return nil, err
+				}
+				continue
+			}
+			if err := r.handleFailure(ctx, a); err != nil {
+				return nil, err
+			}
+		}
 	}
-	// After a stall without any event, the engine may only be slow to produce its first token.
-	// Resuming at offset 0 then continues the run instead of starting it again. It would repeat
-	// events that have no numbers.
-	resumable := r.offset > 0 || kind == KindStalled && r.stats.Tokens == 0
-	return resumable && r.stats.Resumes < maxResumes && ctx.Err() == nil
 }
 
-func (r *resumableStream) resumeRequest() Request {
-	return Request{
+// canResume reports whether the stream can be resumed. After a silence without any event, the engine
+// may only be slow to produce its first token. Resuming at offset 0 then continues the run instead of
+// starting it again; it would repeat events that have no numbers.
+func (r *resumableStream) canResume(ctx context.Context) bool {
+	return (r.offset > 0 || r.stats.Tokens == 0) && r.stats.Resumes < maxResumes && ctx.Err() == nil
+}
+
+// resume opens one more connection, which continues the run.
+func (r *resumableStream) resume(ctx context.Context) {
+	r.stats.Resumes++
+	r.open(ctx, Request{
 		ID:         r.request.ID,
 		Method:     http.MethodGet,
 		Path:       fmt.Sprintf("/v1/streams/%s?offset=%d", url.PathEscape(r.request.ID), r.offset),
 		Idempotent: true, OnHeader: r.request.OnHeader,
+	}, true)
+}
+
+// handleSilence resumes the stream beside the silent connections. If it can't, it reports the silence.
+func (r *resumableStream) handleSilence(ctx context.Context) {
+	r.silence.Reset(StallTimeout)
+	r.forwarder.CloseIdle(r.server.Address)
+	if r.canResume(ctx) {
+		r.resume(ctx)
+		return
+	}
+	r.reportSilence(true)
+}
+
+func (r *resumableStream) reportSilence(silent bool) {
+	if silent == r.silent && !silent {
+		return
+	}
+	r.silent = silent
+	if r.request.OnSilence != nil {
+		r.request.OnSilence(silent)
+	}
+}
+
+// handleFailure handles a connection that has ended. It returns an error if the stream can't go on.
+func (r *resumableStream) handleFailure(ctx context.Context, a arrival) error {
+	delete(r.conns, a.conn)
+	kind := failer.KindOf[Kind](a.err)
+	if !a.conn.resumes && (kind == KindNotSent || kind == KindRefused) {
+		return a.err
+	}
+	if len(r.conns) > 0 {
+		if kind == KindStreamNotFound {
+			// The run may only be found at the silent connection, if at all.
+			r.reportSilence(true)
+		}
+		return nil
+	}
+	if kind != KindResponseLost || r.offset == 0 || !r.canResume(ctx) {
+		return a.err
 	}
+	r.silence.Reset(StallTimeout)
+	r.resume(ctx)
+	return nil
+}
+
+// open sends req on a connection of its own.
+func (r *resumableStream) open(ctx context.Context, req Request, resumes bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &streamConn{resumes: resumes, cancel: cancel}
+	r.conns[c] = true
+	r.receivers.Go(func() {
+		defer cancel()
+		response, err := r.receive(ctx, c, req)
+		if response == nil && err == nil {
+			return
+		}
+		select {
+		case r.arrivals <- arrival{conn: c, response: response, err: err}:
+		case <-r.closed:
+		}
+	})
 }
 
-// attempt sends req and relays the events of the response. It returns a Response only if the
-// status is not 200.
-func (r *resumableStream) attempt(ctx context.Context, req Request) (*Response, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stallTimer := time.AfterFunc(StallTimeout, func() { cancel(errStalled) })
-	defer stallTimer.Stop()
+// receive sends req and passes on the events of the response. It returns a Response only if the status
+// is not 200, and no error if the stream is complete.
+func (r *resumableStream) receive(ctx context.Context, c *streamConn, req Request) (*Response, error) {
 	x, err := r.forwarder.send(ctx, r.server, req)
 	if err != nil {
-		return nil, r.forwarder.classifyError(ctx, r.server, err)
+		return nil, err
 	}
 	defer x.close()
 	if err := checkResponse(x.resp, r.server, req); err != nil {
-		if r.stats.Resumes > 0 && failer.KindOf[Kind](err) == KindRefused {
+		if c.resumes && failer.KindOf[Kind](err) == KindRefused {
 			// The server refused to resume the stream, but may have executed the original request.
 			return nil, failer.Wrap("resume "+req.ID, KindStreamNotFound, err)
 		}
 		return nil, err
 	}
 	if x.resp.StatusCode != http.StatusOK {
-		return r.errorResponse(x)
+		return errorResponse(c, x, req)
+	}
+	events := newEventReader(x.resp)
+	for {
+		e, ok := events.next()
+		if !ok {
+			return nil, failer.New("forward", KindResponseLost, "the stream ended without its closing marker")
+		}
+		select {
+		case r.arrivals <- arrival{conn: c, event: e}:
+		case <-ctx.Done():
+			return nil, failer.Wrap("forward", KindResponseLost, ctx.Err())
+		}
+		if string(e.Data) == doneMarker {
+			return nil, nil
+		}
 	}
-	return nil, r.forwarder.classifyError(ctx, r.server, r.relayEvents(newEventReader(x.resp), stallTimer))
 }
 
 // errorResponse returns the engine's error response to the original request, or
 // KindStreamNotFound if a resume failed.
-func (r *resumableStream) errorResponse(x *exchange) (*Response, error) {
-	if r.stats.Resumes > 0 {
-		return nil, failer.New("resume "+r.request.ID, KindStreamNotFound, "the engine does not have the stream")
+func errorResponse(c *streamConn, x *exchange, req Request) (*Response, error) {
+	if c.resumes {
+		return nil, failer.New("resume "+req.ID, KindStreamNotFound, "the engine does not have the stream")
 	}
 	var body bytes.Buffer
 	if _, err := body.ReadFrom(http.MaxBytesReader(nil, x.resp.Body, MaxBufferedBytes)); err != nil {
@@ -172,26 +300,29 @@
 	return &Response{Status: x.resp.StatusCode, Header: x.resp.Header, Body: body.Bytes()}, nil
 }
 
-// relayEvents passes events to the handler until the [DONE] event.
-func (r *resumableStream) relayEvents(events *eventReader, stallTimer *time.Timer) error {
-	for {
-		e, ok := events.next()
-		if !ok {
-			return failer.New("forward", KindResponseLost, "the stream ended without its closing marker")
-		}
-		stallTimer.Reset(StallTimeout)
-		if string(e.Data) == doneMarker {
-			return nil
-		}
-		if e.Offset != 0 && e.Offset <= r.offset {
-			// A resumed stream may repeat events that were already relayed.
-			continue
-		}
-		r.recordEvent(e)
-		if err := r.handler(e); err != nil {
-			return failer.Wrap("forward", KindCallerGone, err)
+// relay passes an event to the handler and closes the connections over which the stream did not go on.
+// done reports whether the stream is complete.
+func (r *resumableStream) relay(a arrival) (done bool, err error) {
+	if a.event.Offset != 0 && a.event.Offset <= r.offset {
+		// A resumed stream may repeat events that were already relayed.
+		return false, nil
+	}
+	for c := range r.conns {
+		if c != a.conn {
+			c.cancel()
+			delete(r.conns, c)
 		}
 	}
+	r.silence.Reset(StallTimeout)
+	r.reportSilence(false)
+	if string(a.event.Data) == doneMarker {
+		return true, nil
+	}
+	r.recordEvent(a.event)
+	if err := r.handler(a.event); err != nil {
+		return false, failer.Wrap("forward", KindCallerGone, err)
+	}
+	return false, nil
 }
 
 // recordEvent updates the offset and the statistics.
@@ -216,113 +347,3 @@
 		r.stats.MeanTokenInterval = r.lastTokenAt.Sub(r.firstTokenAt) / time.Duration(r.stats.Tokens)
 	}
 }
-
-// chunk holds the fields of an event that StreamAggregator reads.
-type chunk struct {
-	Choices []chunkChoice   `json:"choices"`
-	Usage   json.RawMessage `json:"usage,omitempty"`
-}
-
-type chunkChoice struct {
-	Index int    `json:"index"`
-	Text  string `json:"text,omitempty"`
-	Delta *delta `json:"delta,omitempty"`
-}
-
-type delta struct {
-	Content string `json:"content"`
-}
-
-// StreamAggregator combines the events of a stream into one response, for a caller that did not
-// request a stream. The zero value is empty.
-type StreamAggregator struct {
-	texts  []string
-	isChat bool
-	usage  json.RawMessage
-	size   int
-}
-
-// AddEvent adds one event. It returns an error if the event is not a valid chunk, or if the
-// response exceeds MaxBufferedBytes.
-func (a *StreamAggregator) AddEvent(e Event) error {
-	var c chunk
-	if err := json.Unmarshal(e.Data, &c); err != nil {
-		return failer.Wrap("join", KindResponseLost, err)
-	}
-	for _, choice := range c.Choices {
-		if choice.Index < 0 || choice.Index > maxChoiceIndex {
-			return failer.New("join", KindResponseLost, "choice index out of range")
-		}
-		for len(a.texts) <= choice.Index {
-			a.texts = append(a.texts, "")
-		}
-		text := choice.Text
-		if choice.Delta != nil {
-			a.isChat = true
-			text = choice.Delta.Content
-		}
-		a.texts[choice.Index] += text
-		a.size += len(text)
-	}
-	if a.size > MaxBufferedBytes {
-		return failer.New("join", KindResponseLost, "the answer is too large to be held")
-	}
-	if c.Usage != nil {
-		a.usage = c.Usage
-	}
-	return nil
-}
-
-// maxChoiceIndex bounds the index of a choice in a response.
-const maxChoiceIndex = 128
-
-// completion is the response to a request that is not streamed.
-type completion struct {
-	ID      string             `json:"id"`
-	Object  string             `json:"object"`
-	Model   string             `json:"model"`
-	Choices []completionChoice `json:"choices"`
-	Usage   any                `json:"usage"`
-}
-
-type completionChoice struct {
-	Index        int                `json:"index"`
-	Text         string             `json:"text,omitempty"`
-	Message      *completionMessage `json:"message,omitempty"`
-	FinishReason string             `json:"finish_reason"`
-}
-
-type completionMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-type completionUsage struct {
-	CompletionTokens int `json:"completion_tokens"`
-}
-
-// ResponseBody returns the response as JSON. tokens is reported as usage unless the engine
-// reported its own.
-func (a *StreamAggregator) ResponseBody(id, model string, tokens int) []byte {
-	response := completion{
-		ID: id, Object: "text_completion", Model: model, Usage: completionUsage{CompletionTokens: tokens},
-	}
-	if a.usage != nil {
-		response.Usage = a.usage
-	}
-	for i, text := range a.texts {
-		choice := completionChoice{Index: i, Text: text, FinishReason: "stop"}
-		if a.isChat {
-			response.Object = "chat.completion"
-			choice.Text = ""
-			choice.Message = &completionMessage{Role: "assistant", Content: text}
-		}
-		response.Choices = append(response.Choices, choice)
-	}
-	b, err := json.Marshal(response)
-	if err != nil {
-		// Not reached: the fields are strings, numbers and valid JSON.
-		return nil
-	}
-	return b
-}
