Let emulated systems fall silent for a time and go on

Fault.SilentMillis ("silent-millis" of /emulator/fault) makes an engine, a service or the platform send nothing for a time, once: calls that arrive take effect afterwards, and responses in progress stop in the middle of their next write. No fault could do that before; PauseSeconds only asks for a pause. TestSilentSystemsGoOn shows the times.

--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -22,6 +22,9 @@
 	Down bool `json:"down,omitempty"`
 	// DelayMillis delays each call before it takes effect.
 	DelayMillis int `json:"delay-millis,omitempty"`
+	// SilentMillis makes the system send nothing for this long, once, and then go on. Calls that arrive take effect
+	// afterwards; responses in progress stop in the middle of their next write.
+	SilentMillis int `json:"silent-millis,omitempty"`
 	// DropProbability is the probability that a call takes effect but gets no response.
 	DropProbability float64 `json:"lose-answers,omitempty"`
 	// TruncateProbability is the probability that a response ends after half of its body.
@@ -55,6 +58,8 @@
 	previousResponse *recordedResponse
 	// downUntil is until when the system is down after a crash.
 	downUntil time.Time
+	// silentUntil is until when the system sends nothing.
+	silentUntil time.Time
 	// inProgress cancels the calls in progress, by their number.
 	inProgress map[uint64]context.CancelCauseFunc
 	lastCall   uint64
@@ -82,6 +87,48 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.fault = fault
+	f.silentUntil = time.Now().Add(time.Duration(fault.SilentMillis) * time.Millisecond)
+}
+
+// silence returns how much longer the system sends nothing.
+func (f *faultInjector) silence() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Until(f.silentUntil)
+}
+
+// silentWriter is an http.ResponseWriter that stops in the middle of a write while the system sends nothing.
+type silentWriter struct {
+	http.ResponseWriter
+	request *http.Request
+	silence func() time.Duration
+}
+
+// Unwrap lets http.ResponseController find the connection.
+func (w silentWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Flush implements http.Flusher.
+func (w silentWriter) Flush() {
+	if d := w.silence(); d > 0 {
+		sleep(w.request, d)
+	}
+	// A connection that can't be flushed is at its end.
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+func (w silentWriter) Write(p []byte) (int, error) {
+	d := w.silence()
+	if d <= 0 {
+		return w.ResponseWriter.Write(p)
+	}
+	n, err := w.ResponseWriter.Write(p[:len(p)/2])
+	if err != nil {
+		return n, err
+	}
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+	sleep(w.request, d)
+	rest, err := w.ResponseWriter.Write(p[n:])
+	return n + rest, err
 }
 
 // faultDecision holds the faults chosen for one call.
@@ -174,9 +221,10 @@
 }
 
 func (f *faultInjector) serveWithFaults(w http.ResponseWriter, r *http.Request, decision faultDecision) {
-	if !sleep(r, time.Duration(decision.fault.DelayMillis)*time.Millisecond) {
+	if !sleep(r, f.silence()) || !sleep(r, time.Duration(decision.fault.DelayMillis)*time.Millisecond) {
 		return
 	}
+	w = silentWriter{ResponseWriter: w, request: r, silence: f.silence}
 	switch {
 	case decision.drop:
 		f.next.ServeHTTP(&recordedResponse{header: http.Header{}}, r)
--- a/internal/emulator/fault_test.go
+++ b/internal/emulator/fault_test.go
@@ -6,6 +6,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -32,3 +34,30 @@
 	_, err = post("sound")
 	c.Assert(err, qt.IsNotNil)
 }
+
+// Systems that were told to be silent used to serve on, or not to go on.
+func TestSilentSystemsGoOn(t *testing.T) {
+	const silence = 1500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		engine := NewEngine("e", 1, EngineConfig{TokenInterval: 10 * time.Millisecond, FullSpeedBatch: 4, TokensPerEvent: 1})
+		service := NewService("s", 1, &ExecutionLog{})
+		completion := func() *http.Request {
+			return httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"stream": true, "max_tokens": 4}`))
+		}
+		start := time.Now()
+		// The silence begins within the stream.
+		time.AfterFunc(25*time.Millisecond, func() { engine.SetFault(Fault{SilentMillis: 1500}) })
+		w := httptest.NewRecorder()
+		engine.ServeHTTP(w, completion())
+		c.Assert(time.Since(start), qt.Equals, 25*time.Millisecond+silence)
+		c.Assert(strings.HasSuffix(w.Body.String(), "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf(w.Body.String()))
+
+		start = time.Now()
+		service.SetFault(Fault{SilentMillis: 1500})
+		w = httptest.NewRecorder()
+		service.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/visits", strings.NewReader("{}")))
+		c.Assert(time.Since(start), qt.Equals, silence)
+		c.Assert(w.Code, qt.Equals, http.StatusOK)
+	})
+}
