Suspend a server that was silent once for one second, not ten

All requests that a server has when it falls silent fail within the same instant; from the third on each doubled the suspension, so that eight of them suspended a sound server for 10 s. A request that was left alone and succeeded when the server went on did not end the suspension either. The new test gave "10s, want 1s" before.

Failures that come during a suspension are of requests from before it and no longer extend it; a success ends it. A server that fails again after its suspension is suspended for longer, as before.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -316,11 +316,12 @@
 }
 
 // recordOutcome adjusts the server's limit to the measured latency and suspends the server after
-// failuresToSuspend consecutive failures.
+// failuresToSuspend consecutive failures, until it succeeds with a request that it still has.
 func (s *server) recordOutcome(now time.Time, r encoder.Release) {
 	if r.Failed {
 		s.consecutiveFailures++
-		if s.consecutiveFailures >= failuresToSuspend {
+		// Failures during a suspension are those of requests from before it.
+		if s.consecutiveFailures >= failuresToSuspend && !now.Before(s.suspendedUntil) {
 			s.suspension = min(max(s.suspension*2, minSuspension), maxSuspension)
 			s.suspendedUntil = now.Add(s.suspension)
 		}
@@ -328,6 +329,7 @@
 	}
 	s.consecutiveFailures = 0
 	s.suspension = 0
+	s.suspendedUntil = time.Time{}
 	if now.Before(s.nextAdjust) {
 		return
 	}
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -123,6 +123,25 @@
 	c.Assert(g.FreeSlots(now, testPool), qt.Equals, 3, qt.Commentf("the limit must fall below 4"))
 }
 
+// TestSilenceOfServerSuspendsItOnce guards against a long suspension of a sound server that was silent once. All requests
+// that it had at that time fail together, and those that were left alone succeed when it goes on.
+func TestSilenceOfServerSuspendsItOnce(t *testing.T) {
+	c := qt.New(t)
+	g := newTestGranter(map[Account]float64{})
+	now := time.Unix(1000, 0)
+	g.SetServers(now, []Server{{ID: 1, Pool: testPool, Slots: 9}}, now)
+	k := Account{Pool: testPool, Workspace: 1}
+	g.Register("a", k, Registration{Count: 9, Arrived: now, Cost: 10})
+	grants := g.Schedule(now)
+	for _, grant := range grants[:8] {
+		g.Release(now, "a", encoder.Release{Ticket: grant.Offer.Ticket, Cost: 1, Failed: true})
+	}
+	c.Assert(g.Dump()[0].SuspendedUntil.Sub(now), qt.Equals, minSuspension)
+	now = now.Add(minSuspension / 10)
+	g.Release(now, "a", encoder.Release{Ticket: grants[8].Offer.Ticket, Cost: 10})
+	c.Assert(g.FreeSlots(now, testPool), qt.Equals, 9)
+}
+
 // TestAnnouncementBeforeOwnership guards against the loss of slots that a router announces before
 // the new owner itself learns of the change of owner. Their charges were lost, and the slots were
 // granted again while still in use.
