Claim keys through two seconds of silence of the table service

A keyed call was refused as "could not be claimed" if the table service was silent for 1.5 s or more and then went on: its first insert is given up after 1.5 s (CallTimeout), which left 0.5 s to read the row and insert again. The rows of testdata/silence/unsafe gave "told 503" at 2000 ms with 18 s left, for a silence of 1900 and of 2500 ms.

A claim may take 4 s now, and both rows are answered, at 2000 and 2600 ms. A failed claim makes others fail at once for a second, as before; until the first has failed, claims hold their slots for 4 instead of 2 s.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -165,8 +165,8 @@
 
 const (
 	// claimTimeout bounds the time to claim a key, during which the request holds a
-	// slot.
-	claimTimeout = 2 * time.Second
+	// slot. It leaves time for an insert after two seconds without an answer.
+	claimTimeout = 4 * time.Second
 	// probeInterval is the interval at which single claims probe a failed store.
 	// Other claims are rejected at once, so that slow store failures do not occupy
 	// the slots of other requests.
