Do not take the time of a slow caller for silence of the engine

On a caller that took 1.5 s to read an event lost its stream, whose next event was there already: the time until it had read counted as silence (the new row there: GET at 1500 ms, "stream cut", 502). Since streams are resumed beside their connection the row ends "complete".

--- a/internal/dispatcher/silence_test.go
+++ b/internal/dispatcher/silence_test.go
@@ -39,6 +39,8 @@
 	dialUntil map[string]time.Duration
 	// refuse makes Acquire refuse at once if no slot is free.
 	refuse bool
+	// callerDelay is how long the caller takes to read an event.
+	callerDelay time.Duration
 
 	mu sync.Mutex
 	// nextServer is the index of the server that is asked for a slot first.
@@ -98,6 +100,7 @@
 func (f *pausingFleet) recordEvent(e forwarder.Event) error {
 	f.events++
 	f.record("event %d: %s", f.events, e.Data)
+	time.Sleep(f.callerDelay)
 	return nil
 }
 
@@ -304,6 +307,9 @@
 	f.freed = make(chan struct{})
 	f.refuse = data.HasArg("refuse")
 	platform := emulator.NewPlatform(1)
+	if arg, ok := data.Arg("slow-caller"); ok {
+		f.callerDelay = millis(arg.Vals[0])
+	}
 	var storeUntil time.Duration
 	if arg, ok := data.Arg("store-until"); ok {
 		storeUntil = millis(arg.Vals[0])
--- a/internal/forwarder/streamer.go
+++ b/internal/forwarder/streamer.go
@@ -313,7 +313,6 @@
 			delete(r.conns, c)
 		}
 	}
-	r.silence.Reset(StallTimeout)
 	r.reportSilence(false)
 	if string(a.event.Data) == doneMarker {
 		return true, nil
@@ -322,6 +321,8 @@
 	if err := r.handler(a.event); err != nil {
 		return false, failer.Wrap("forward", KindCallerGone, err)
 	}
+	// The time that the caller took to read the event is not the engine's.
+	r.silence.Reset(StallTimeout)
 	return false, nil
 }
 
