Count no failure of an engine whose caller leaves during the answer

A caller that left between two events counted as a failure of the engine; three in a row suspend it.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -254,16 +254,19 @@
 
 // releaseSlot releases the slot and reports the cost and result of the attempt to its owner. The workspace pays for each
 // attempt. One that has succeeded first ends the others, which may wait for the slot.
-func (a *attempt) releaseSlot(slot scheduler.Slot, err error, cost float64, stats forwarder.StreamStats) {
+func (a *attempt) releaseSlot(ctx context.Context, slot scheduler.Slot, err error, cost float64, stats forwarder.StreamStats) {
 	a.mu.Lock()
 	if err == nil && !a.isServerError() {
 		a.takeLead()
 	}
-	endedByUs := a.superseded && !a.silent
+	silent := a.silent || stats.Silent
+	superseded := a.superseded
 	a.mu.Unlock()
+	// That another attempt goes on, or that the caller left during the response, is no failure of a server that is not silent.
+	canceled := errors.Is(ctx.Err(), context.Canceled) && !silent && (superseded || stats.Tokens > 0)
 	kind := failer.KindOf[forwarder.Kind](err)
 	release := encoder.Release{
-		Failed: err != nil && kind != forwarder.KindCallerGone && !errors.Is(err, errClaimNotWon) && !endedByUs,
+		Failed: err != nil && kind != forwarder.KindCallerGone && !errors.Is(err, errClaimNotWon) && !canceled,
 	}
 	notRun := kind == forwarder.KindNotSent || kind == forwarder.KindRefused || errors.Is(err, errClaimNotWon)
 	if !notRun {
@@ -300,7 +303,7 @@
 	if response != nil {
 		a.status = response.Status
 	}
-	a.releaseSlot(slot, err, a.PromptTokens+float64(tokens), stats)
+	a.releaseSlot(ctx, slot, err, a.PromptTokens+float64(tokens), stats)
 	switch {
 	case err != nil:
 		return err
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -29,7 +29,7 @@
 	response, err := a.d.Forwarder.Forward(ctx, server, a.forwardRequest(slot))
 	cost := float64(time.Since(start).Milliseconds())
 	a.status = response.Status
-	a.releaseSlot(slot, err, cost, forwarder.StreamStats{})
+	a.releaseSlot(ctx, slot, err, cost, forwarder.StreamStats{})
 	if err != nil {
 		return err
 	}
--- a/internal/forwarder/streamer.go
+++ b/internal/forwarder/streamer.go
@@ -41,6 +41,8 @@
 	MeanTokenInterval time.Duration
 	// Resumes is the number of times that the stream was resumed.
 	Resumes int
+	// Silent reports whether the stream was silent for StallTimeout when it ended.
+	Silent bool
 }
 
 // EventHandler handles one event of a stream. An error ends the stream.
@@ -194,6 +196,7 @@
 // handleSilence resumes the stream beside the silent connections. If it can't, it reports the silence.
 func (r *resumableStream) handleSilence(ctx context.Context) {
 	r.silence.Reset(StallTimeout)
+	r.stats.Silent = true
 	r.forwarder.CloseIdle(r.server.Address)
 	if r.canResume(ctx) {
 		r.resume(ctx)
@@ -313,6 +316,7 @@
 			delete(r.conns, c)
 		}
 	}
+	r.stats.Silent = false
 	r.reportSilence(false)
 	if string(a.event.Data) == doneMarker {
 		return true, nil
