Return no reply that may still be received

A router read the reply of an admission call that it had given up while net/rpc still decoded into it, so that a grant could be seen in part.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -201,8 +201,11 @@
 // bounds the wait.
 func (m *Messenger) Admit(ctx context.Context, address string, args *AdmitArgs) (AdmitReply, error) {
 	var reply AdmitReply
-	err := m.call(ctx, address, "Ask", args, &reply)
-	return reply, err
+	if err := m.call(ctx, address, "Ask", args, &reply); err != nil {
+		// A reply that arrives after the context has ended is still decoded into the variable.
+		return AdmitReply{}, err
+	}
+	return reply, nil
 }
 
 // FetchConfig fetches a configuration newer than a version from a peer.
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -74,3 +74,24 @@
 	c.Assert(r.reply.Granted, qt.IsTrue)
 	c.Assert(ln.dials, qt.Equals, 1)
 }
+
+// Guards against the use of a reply that is still being received after its caller has given up waiting for it.
+func TestCanceledAdmissionCallReadsNoLateReply(t *testing.T) {
+	c := qt.New(t)
+	ln := newPipeListener()
+	owner := &Messenger{Handlers: Handlers{
+		Admit: func(*AdmitArgs) AdmitReply { return AdmitReply{Granted: true, Reason: "r", Running: 1} },
+	}}
+	go func() { _ = owner.Serve(ln) }()
+	defer ln.Close()
+	m := &Messenger{Dial: ln.dial}
+	defer m.Close()
+	for i := range uint64(2000) {
+		ctx, cancel := context.WithCancel(context.Background())
+		go cancel()
+		reply, err := m.Admit(ctx, "owner", &AdmitArgs{Ask: admitter.Request{ID: i}})
+		if err != nil {
+			c.Assert(reply, qt.Equals, AdmitReply{})
+		}
+	}
+}
