--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (held bool, err error){
 	"draining-exit":         drainingExit,
 	"crash-in-large-answer": crashInLargeAnswer,
+	"crash-of-full-server":  crashOfFullServer,
 }
 
 func main() {
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -23,8 +23,14 @@
 	pieces   int
 	piece    int
 	firstMs  time.Duration
+	// slots and queue limit the requests that the server takes, 0 for no limit. It turns others away and wants none for retryAfter.
+	slots, queue int
+	retryAfter   string
 
-	out sync.Mutex
+	out   sync.Mutex
+	mu    sync.Mutex
+	taken int
+	slot  chan struct{}
 }
 
 func runServer(args []string) error {
@@ -37,9 +43,13 @@
 	f.IntVar(&b.pieces, "pieces", 10, "pieces of an answer")
 	f.IntVar(&b.piece, "piece", 55, "bytes of a piece")
 	f.DurationVar(&b.firstMs, "first", 0, "time before the first piece")
+	f.IntVar(&b.slots, "slots", 0, "requests that run at the same time")
+	f.IntVar(&b.queue, "queue", 0, "requests that wait")
+	f.StringVar(&b.retryAfter, "retry-after", "", "Retry-After of the answer to a request that is turned away")
 	if err := f.Parse(args); err != nil {
 		return err
 	}
+	b.slot = make(chan struct{}, max(1, b.slots))
 	ln, err := net.Listen("tcp", *listen)
 	if err != nil {
 		return err
@@ -79,6 +89,34 @@
 	}
 }
 
+// take takes a place of the server and waits for a slot. It returns false if the server is full.
+func (b *backend) take() bool {
+	if b.slots == 0 {
+		return true
+	}
+	b.mu.Lock()
+	full := b.taken >= b.slots+b.queue
+	if !full {
+		b.taken++
+	}
+	b.mu.Unlock()
+	if full {
+		return false
+	}
+	b.slot <- struct{}{}
+	return true
+}
+
+func (b *backend) release() {
+	if b.slots == 0 {
+		return
+	}
+	<-b.slot
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.taken--
+}
+
 // piecesOf returns the pieces of the answer to a request.
 func piecesOf(id string, stream bool, n, size int) []string {
 	out := make([]string, n)
@@ -99,6 +137,12 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", b.id, id)
 		return err == nil
 	}
+	if !b.take() {
+		b.print("full for %s at %s", id, b.id)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", id, b.retryAfter)
+		return err == nil
+	}
+	defer b.release()
 	b.print("run %s at %s, %d bytes in, deadline %s", id, b.id, len(body), req.Header.Get("Deadline-Ms"))
 	stream := req.Header.Get("Token-Usage") != ""
 	pieces := piecesOf(id, stream, b.pieces, b.piece)
--- a/review/harness/unframed.go
+++ b/review/harness/unframed.go
@@ -147,3 +147,40 @@
 	}
 	return !v.broken, nil
 }
+
+// crashOfFullServer: four servers of the plain service are full, turn some requests away and ask for a pause. Then one of
+// them crashes in the middle of its answers, which have no length and end with their connection.
+func crashOfFullServer(d *deployment, trouble bool) (bool, error) {
+	const pieces, piece = 10, 80
+	r, err := d.prepare("booking", "-framed=false", "-interval=60ms", fmt.Sprintf("-pieces=%d", pieces), fmt.Sprintf("-piece=%d", piece),
+		"-slots=6", "-queue=2", "-retry-after=2")
+	if err != nil {
+		return false, err
+	}
+	var v verdict
+	for i := range 48 {
+		id, method, prefix := fmt.Sprintf("9c41d07be2a3%04x", i), "GET", readPrefix
+		if i%2 == 1 {
+			method, prefix = "POST", bookPrefix
+		}
+		v.run(func() (bool, bool) {
+			d.note("client: sends request %s, %s %s", id, method, prefix)
+			a := send(r.callers, method, prefix, id, apiKey, 3*time.Second, "")
+			return checkWhole(d, a, false, pieces, piece), a.status == 200 && a.complete
+		})
+		time.Sleep(4 * time.Millisecond)
+	}
+	if trouble {
+		time.Sleep(150 * time.Millisecond)
+		s := d.busiest()
+		d.note("server %s crashes", s.id)
+		_ = s.cmd.Process.Signal(syscall.SIGKILL)
+	}
+	v.wg.Wait()
+	d.noteLog(r, "event=server-excluded")
+	d.noteLog(r, "event=request ")
+	if !v.broken && !trouble && v.whole == 0 {
+		return false, fmt.Errorf("no request was served")
+	}
+	return !v.broken, nil
+}
