--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/harness"
 mkdir -p ../bin
-go build -o ../bin/harness .
+go build -buildvcs=false -o ../bin/harness .
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -15,6 +15,7 @@
 	"draining-exit":         drainingExit,
 	"crash-in-large-answer": crashInLargeAnswer,
 	"crash-of-full-server":  crashOfFullServer,
+	"crash-with-streams":    crashWithStreams,
 }
 
 func main() {
--- a/review/harness/unframed.go
+++ b/review/harness/unframed.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"syscall"
@@ -46,6 +47,9 @@
 	var out *server
 	most := -1
 	for _, s := range d.servers {
+		if s.hasEnded() {
+			continue
+		}
 		s.mu.Lock()
 		if n := len(s.runs); n > most {
 			most, out = n, s
@@ -184,3 +188,95 @@
 	}
 	return !v.broken, nil
 }
+
+const (
+	// keptConnections is the number of connections that other machines keep to each server. The sheet allows 360 to each.
+	keptConnections = 300
+	// crashes is how often a server crashes, one of four each time.
+	crashes = 4
+)
+
+// crashWithStreams: four model servers send streams that have no length and end with their connection. One of the servers
+// crashes, and another one comes in its place; this happens four times.
+func crashWithStreams(d *deployment, trouble bool) (bool, error) {
+	const pieces, piece = 30, 55
+	args := []string{"-framed=false", "-interval=100ms", fmt.Sprintf("-pieces=%d", pieces), fmt.Sprintf("-piece=%d", piece)}
+	r, err := d.prepare("models", args...)
+	if err != nil {
+		return false, err
+	}
+	var v verdict
+	for round := range crashes {
+		kept, err := d.keepConnections()
+		if err != nil {
+			return false, err
+		}
+		for i := range 120 {
+			id, prefix := fmt.Sprintf("9c41d07be2%02x%04x", round, i), []string{streamPrefix, resumePrefix}[i%2]
+			v.run(func() (bool, bool) {
+				d.note("client: sends request %s, POST %s", id, prefix)
+				a := send(r.callers, "POST", prefix, id, apiKey, 15*time.Second, strings.Repeat("b", 800))
+				return checkWhole(d, a, true, pieces, piece), a.status == 200 && a.complete
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		if trouble {
+			time.Sleep(time.Second)
+			s := d.busiest()
+			d.note("server %s crashes", s.id)
+			_ = s.cmd.Process.Signal(syscall.SIGKILL)
+			<-s.done
+		}
+		v.wg.Wait()
+		for _, c := range kept {
+			_ = c.Close()
+		}
+		if trouble && round+1 < crashes {
+			if _, err := d.startServer(fmt.Sprintf("i-02d9e6b%d", round), "models", args...); err != nil {
+				return false, err
+			}
+		}
+		time.Sleep(3 * time.Second)
+		for _, s := range d.servers {
+			s.forgetRuns()
+		}
+	}
+	d.noteLog(r, "event=request ")
+	if !v.broken && !trouble && v.whole == 0 {
+		return false, fmt.Errorf("no request was served")
+	}
+	return !v.broken, nil
+}
+
+// keepConnections opens the connections that other machines keep to the servers.
+func (d *deployment) keepConnections() (kept []net.Conn, err error) {
+	for _, s := range d.servers {
+		for range keptConnections {
+			if s.hasEnded() {
+				break
+			}
+			c, err := net.Dial("tcp", s.address)
+			if err != nil {
+				return nil, err
+			}
+			kept = append(kept, c)
+		}
+	}
+	return kept, nil
+}
+
+func (s *server) hasEnded() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// forgetRuns lets busiest count anew.
+func (s *server) forgetRuns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.runs)
+}
