--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -41,11 +43,15 @@
 		return 2
 	}
 	defer d.close()
-	defer time.AfterFunc(maxCaseTime, func() {
-		d.note("could not run: it took too long")
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, os.Interrupt, syscall.SIGTERM)
+	defer time.AfterFunc(maxCaseTime, func() { end <- os.Interrupt }).Stop()
+	go func() {
+		<-end
+		d.note("could not run: it was interrupted or took too long")
 		d.close()
 		os.Exit(2)
-	}).Stop()
+	}()
 	held, err := cases[name](d, trouble)
 	switch {
 	case err != nil:
