--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -120,6 +120,10 @@
 	MaxConnections int
 	// Engine is nil for services that are not model servers.
 	Engine *Engine
+	// ColdPerSecond is the number of requests a second that a server tolerates from all routers together while it is
+	// cold, or 0 if its servers have no such limit. A server that starts during traffic is cold for ColdStart.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 }
 
 // Workspace is a customer that shares the capacity with others. Only hashes of its
@@ -225,6 +229,10 @@
 	StartedUnixMilli int64
 	// Release identifies the software and the weights of the server; empty if unknown.
 	Release string
+	// ColdRemaining is how much longer the server stays cold, as of the writing of its entry, 0 if it is not. Entry is
+	// the store version of the entry.
+	ColdRemaining time.Duration
+	Entry         uint64
 }
 
 // SameIncarnation reports whether two entries describe the same incarnation of a
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -63,6 +63,10 @@
 	Limit        float64
 	LimitNamed   bool
 	InvalidLimit string
+	// ColdRemaining is how much longer the server states that it stays cold, or 0. InvalidCold is the value of a
+	// statement that cannot be read.
+	ColdRemaining time.Duration
+	InvalidCold   string
 	// NotRun is true if the server states that it did not run the request.
 	NotRun bool
 }
