pacer: cold servers, and who may let requests start there

Cause: no router knows how long a server stays cold, and an owner paces with a burst of half a second, which two owners in turn add up.

--- a/internal/pacer/limits.go
+++ b/internal/pacer/limits.go
@@ -1,5 +1,6 @@
-// Package pacer keeps the requests to a server within the rate that it names in its answers. Limits holds
-// what servers have said, to any router of the fleet; a Pacer spaces the requests that start.
+// Package pacer keeps the requests to a server within the rate that it names in its answers, or that it tolerates
+// while it is cold. Limits and ColdServers hold what servers have said, to any router of the fleet; a Pacer spaces the
+// requests that start, and a Tenure holds whether this router may let them start at a cold server.
 //
 // The package does no I/O. Times of Limits are readings of the boot clock.
 package pacer
