admitter: starts on cold servers are spaced evenly

Cause: an owner starts as many requests on a cold server as on any other, and overflow requests too.

The admitter asks for the phase of a server and what this router may start there. Starts on a cold server are one interval apart from the first one on, what would start too late is refused at once with server-cold and goes to a warm server, and overflow requests get no place. A decision tells its time and whether the server was cold.

Result: go test -race ./internal/admitter ./internal/steerer ./internal/rehearser ./internal/allocator passes.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -11,7 +11,7 @@
 //   - prompts with the fewest uncached tokens
 //   - the earliest wanted first event
 //
-// If a server names a limit of requests a second, the owner also spaces the requests that start there, so
+// If a server names a limit of requests a second, or is cold, the owner also spaces the requests that start there, so
 // that all routers together keep the limit.
 //
 // Requests that cannot start in time are refused immediately. docs/DESIGN.md describes the
@@ -27,6 +27,8 @@
 	"math/bits"
 	"slices"
 	"time"
+
+	"papayapaddle/internal/pacer"
 )
 
 const (
@@ -104,6 +106,8 @@
 	// Limit returns the requests a second that may start on a server, and whether it has such a limit. If nil,
 	// no server has.
 	Limit func(server string) (perSecond float64, limited bool)
+	// Cold returns the phase of a server and what this router may start there. If nil, all servers are warm.
+	Cold func(server string) ColdLimit
 
 	engines   map[string]*engineState
 	usage     usageTracker
@@ -137,9 +141,16 @@
 // engine's state.
 func (a *Admitter) update(now time.Time, e *engineState) {
 	e.updateUtilization(now)
+	var perSecond float64
+	var limited bool
+	var cold ColdLimit
 	if a.Limit != nil {
-		e.pace.set(a.Limit(e.ID))
+		perSecond, limited = a.Limit(e.ID)
+	}
+	if a.Cold != nil {
+		cold = a.Cold(e.ID)
 	}
+	e.pace.set(perSecond, limited, cold)
 }
 
 // Submit queues a request. TakeDecisions returns its decision, immediately or later.
@@ -374,7 +385,7 @@
 			}
 			retryAfter := begin.Sub(now) + e.estimateWait(now)
 			if paced.After(latest) {
-				reason, retryAfter = ReasonServerLimit, e.pace.promise(now, begin)
+				reason, retryAfter = e.pace.refusal(now, begin)
 			}
 			a.refuse(now, e, Decision{
 				Request: req, Reason: reason, RetryAfter: retryAfter,
@@ -398,6 +409,7 @@
 func (a *Admitter) recordDecision(now time.Time, e *engineState, d Decision) {
 	d.Running, d.Waiting, d.Backlog = len(e.running), len(e.queue), e.prefillBacklog(now)
 	d.Limit, d.Retried = e.concurrencyLimit(), d.Request.refusedBefore
+	d.At, d.Cold = now, e.pace.cold.Phase == pacer.Cold
 	d.Usage, d.MeanUsage = a.usage.workspaceTokens(now, d.Request.Workspace), a.usage.mean(now)
 	a.decisions = append(a.decisions, d)
 }
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
+
+	"papayapaddle/internal/pacer"
 )
 
 // testDriver runs the commands of a test script on an Admitter. Times in scripts are in
@@ -20,6 +22,7 @@
 	ids      map[string]uint64
 	// limit is the rate that the server names, negative if none.
 	limit float64
+	cold  ColdLimit
 }
 
 func newTestDriver() *testDriver {
@@ -27,6 +30,7 @@
 	td.admitter = Admitter{
 		UsageTimeConstant: 2 * time.Second,
 		Limit:             func(string) (float64, bool) { return td.limit, td.limit >= 0 },
+		Cold:              func(string) ColdLimit { return td.cold },
 	}
 	return td
 }
@@ -52,7 +56,11 @@
 	var out strings.Builder
 	for _, d := range td.admitter.TakeDecisions() {
 		if d.Granted {
-			fmt.Fprintf(&out, "%s granted\n", td.name(d.Request.ID))
+			fmt.Fprintf(&out, "%s granted", td.name(d.Request.ID))
+			if d.Cold {
+				fmt.Fprintf(&out, ", cold, at %d ms", d.At.Sub(time.Unix(1000, 0)).Milliseconds())
+			}
+			fmt.Fprintln(&out)
 			continue
 		}
 		fmt.Fprintf(&out, "%s refused %s, retry after %d ms\n",
@@ -111,7 +119,7 @@
 
 // run executes one command and returns the decisions that it caused. The command "ask" submits
 // a request, "first", "silent", "done", "failed" and "unsent" record outcomes, "forget" removes a router, "heard"
-// merges the grants of a peer, "limit" sets the limit that the server names, and "state" returns the state of the server instead.
+// merges the grants of a peer, "limit" sets the limit that the server names, "cold", "warming" and "warm" set its phase, and "state" returns the state of the server instead.
 func (td *testDriver) run(t *testing.T, d *datadriven.TestData) string {
 	router := "r"
 	d.MaybeScanArgs(t, "router", &router)
@@ -139,6 +147,9 @@
 	case "limit":
 		td.limit = -1
 		d.MaybeScanArgs(t, "per-second", &td.limit)
+	case "cold", "warming", "warm":
+		td.cold = ColdLimit{Phase: map[string]pacer.Phase{"cold": pacer.Cold, "warming": pacer.Warming, "warm": pacer.Warm}[d.Cmd]}
+		d.MaybeScanArgs(t, "per-second", &td.cold.PerSecond)
 	case "cancel":
 		td.admitter.Cancel(td.now, "e", router, td.id(d.CmdArgs[0].Key))
 	case "forget":
--- a/internal/admitter/engine.go
+++ b/internal/admitter/engine.go
@@ -263,5 +263,5 @@
 		wait = max(wait, time.Duration(n+1)*e.slotFreeInterval)
 	}
 	wait = max(wait, e.health.suspendedUntil.Sub(now))
-	return max(wait, e.pace.next(now, len(e.queue)).Sub(now))
+	return max(wait, e.pace.wait(now, len(e.queue)))
 }
--- a/internal/admitter/report.go
+++ b/internal/admitter/report.go
@@ -47,7 +47,7 @@
 	PrefillRate      float64 `json:"read-tokens-per-second"`
 	Failures         int     `json:"failures"`
 	WaitMS           float64 `json:"wait-ms"`
-	// LimitPerSecond is the limit that the server names, nil without one.
+	// LimitPerSecond is the limit that the server names, or that it has since it is or was cold, nil without one.
 	LimitPerSecond *float64 `json:"limit-per-second,omitempty"`
 }
 
--- a/internal/admitter/request.go
+++ b/internal/admitter/request.go
@@ -89,6 +89,9 @@
 	ReasonSuspended Reason = "server-suspended"
 	// ReasonServerLimit: the request would start too late at the limit that the server names.
 	ReasonServerLimit Reason = "server-limit"
+	// ReasonServerCold: the request would start too late at the rate that the server tolerates while it is cold, or its
+	// owner has not been the owner for long enough.
+	ReasonServerCold Reason = "server-cold"
 	// ReasonOwnerUnreachable: no router that may own a server with a limit can be reached.
 	ReasonOwnerUnreachable Reason = "owner-unreachable"
 	// ReasonNoRoom: the server has no idle capacity for overflow requests.
@@ -120,6 +123,9 @@
 	// of all workspaces.
 	Usage     float64
 	MeanUsage float64
+	// At is the time of the decision. Cold says that the server was cold then, so that a grant must be used soon.
+	At   time.Time
+	Cold bool
 }
 
 // Outcome is a report about a granted request from the router that sent it.
--- a/internal/admitter/utilization.go
+++ b/internal/admitter/utilization.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"papayapaddle/internal/pacer"
 )
 
 const (
@@ -58,6 +60,10 @@
 // canTakeOverflow reports whether the engine has idle capacity to start an overflow request
 // immediately.
 func (e *engineState) canTakeOverflow(now time.Time, req *Request) bool {
+	if e.pace.cold.Phase == pacer.Cold {
+		// What starts here must warm the server for the prompts whose home it is.
+		return false
+	}
 	if len(e.queue) > 0 || e.utilization.value >= maxOverflowUtilization || !e.canStart(now, req) {
 		return false
 	}
--- a/internal/pacer/tenure_test.go
+++ b/internal/pacer/tenure_test.go
@@ -51,7 +51,7 @@
 				wanted = rng.IntN(4) > 0
 				// Often only the load changes.
 				changed := rng.IntN(2) == 0 || now == 0
-				restarted := rng.IntN(3*routers)
+				restarted := rng.IntN(3 * routers)
 				first, second := rng.IntN(routers), rng.IntN(routers)
 				partitioned := rng.IntN(3) == 0
 				if changed && restarted < routers {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -71,14 +71,14 @@
 }
 
 // Alternative returns another server for a prompt that a server refused for a reason, or nil: a new home if
-// that server is suspended or at the limit that it names, or else a server with idle capacity. A new home
+// that server is suspended, cold or at the limit that it names, or else a server with idle capacity. A new home
 // has no limit itself if there is such a server.
 func Alternative(
 	prefix SharedPrefix, servers []*cataloger.Server, loads map[string]Load, exclude []string,
 	reason admitter.Reason, limited func(server string) bool,
 ) (s *cataloger.Server, home bool) {
 	switch reason {
-	case admitter.ReasonServerLimit, admitter.ReasonOwnerUnreachable:
+	case admitter.ReasonServerLimit, admitter.ReasonServerCold, admitter.ReasonOwnerUnreachable:
 		unlimited := slices.DeleteFunc(slices.Clone(servers), func(s *cataloger.Server) bool { return limited(s.ID) })
 		if len(unlimited) > 0 {
 			servers = unlimited
