Cold servers get what their owner lets start, from all routers together

conductor/cold.go connects pacer.ColdServers to entries, responses, gossip and admission requests. The owner of a cold server, model or plain, lets requests start if it has been the owner for a second and reaches half of the fleet (Membership.ReachableShare), also if it is the only router that can be asked. A grant names how long the request waited, so that the asker can bound its age; it is checked when the server is assigned and once more before the request is written. Prompts go to a cold server only if it is their home. An owner of the release before does not say that it paced a grant, which is then not used. Requests that are not written since their grant is too old close no idle connections.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -65,6 +65,7 @@
 // Slot is a slot on a model server, granted to one request.
 type Slot struct {
 	Server *cataloger.Server
+	Grant  Grant
 
 	allocator   *Allocator
 	request     *admitter.Request
@@ -106,7 +107,14 @@
 	Servers func(service string) []*cataloger.Server
 	// Limit returns the limit that a server names, empty without one. It may be nil.
 	Limit func(server string) []pacer.News
-	Log   func(event string, keyvals ...any)
+	// Cold returns the period in which a server is cold, empty if it is not. Avoid reports whether a server is cold or
+	// was a moment ago, so that it gets only prompts whose home it is. OnMoved is called when a request got a slot on
+	// another server because its own was cold. Now reads the boot clock. All may be nil.
+	Cold    func(server string) []pacer.ColdNews
+	Avoid   func(server string) bool
+	OnMoved func()
+	Now     func() time.Duration
+	Log     func(event string, keyvals ...any)
 
 	// mu protects Admitter, waiters, removedRouters, startedAt and fastTicking.
 	mu       sync.Mutex
@@ -218,7 +226,7 @@
 // owner suggests in its refusal.
 func (a *Allocator) Acquire(ctx context.Context, req *SlotRequest) (*Slot, *Refusal) {
 	servers := a.Servers(req.Service.Name)
-	ranked := steerer.RankServers(req.SharedPrefix, servers, a.Loads(), req.ExcludedServers)
+	ranked := steerer.RankServers(req.SharedPrefix, a.candidates(req, servers), a.Loads(), req.ExcludedServers)
 	if len(ranked) == 0 {
 		return nil, &Refusal{Reason: ReasonNoServer, RetryAfter: retryAfterNoServer}
 	}
@@ -232,6 +240,9 @@
 		return nil, first
 	}
 	slot, second := a.tryServer(ctx, req, servers[i], !first.Reply.Home)
+	if slot != nil && first.Reason == admitter.ReasonServerCold && a.OnMoved != nil {
+		a.OnMoved()
+	}
 	if slot != nil || second.Reason == ReasonCanceled {
 		return slot, second
 	}
@@ -243,29 +254,29 @@
 	return nil, first
 }
 
-// AwaitStart waits until a request may start on a server of a plain service that names a limit. It returns nil
-// if the owner of the server lets it start, or why it does not.
-func (a *Allocator) AwaitStart(ctx context.Context, req *SlotRequest, server *cataloger.Server) *Refusal {
-	_, _, refusal := a.askServer(ctx, req, server, false)
-	return refusal
+// AwaitStart waits until a request may start on a server of a plain service that names a limit or is cold. It returns
+// the grant if the owner of the server lets it start, or why it does not.
+func (a *Allocator) AwaitStart(ctx context.Context, req *SlotRequest, server *cataloger.Server) (Grant, *Refusal) {
+	_, reply, refusal := a.askServer(ctx, req, server, false)
+	return reply.grant, refusal
 }
 
 // tryServer requests a slot on one server.
 func (a *Allocator) tryServer(
 	ctx context.Context, req *SlotRequest, server *cataloger.Server, overflow bool,
 ) (*Slot, *Refusal) {
-	ask, owner, refusal := a.askServer(ctx, req, server, overflow)
+	ask, reply, refusal := a.askServer(ctx, req, server, overflow)
 	if refusal != nil {
 		return nil, refusal
 	}
-	return a.addSlot(&Slot{Server: server, allocator: a, request: ask, owner: owner}), nil
+	return a.addSlot(&Slot{Server: server, Grant: reply.grant, allocator: a, request: ask, owner: reply.owner}), nil
 }
 
 // askServer asks the owner of a server whether a request may start there. It returns the request as the owner
-// knows it, and the owner.
+// knows it, and the owner's answer.
 func (a *Allocator) askServer(
 	ctx context.Context, req *SlotRequest, server *cataloger.Server, overflow bool,
-) (*admitter.Request, messenger.Peer, *Refusal) {
+) (*admitter.Request, answer, *Refusal) {
 	engine := admitter.Engine{ID: server.ID}
 	if e := req.Service.Engine; e != nil {
 		engine.Slots, engine.MemoryTokens = e.Slots, e.MemoryTokens
@@ -277,41 +288,43 @@
 			FirstBy: req.FirstEventBy, Deadline: req.Deadline, Arrived: req.Arrived,
 			Resumed: req.Resumed, Spare: overflow, Standby: req.Standby,
 		},
-		Service: req.Service.Name, Prompt: req.SharedPrefix, Tried: req.ExcludedServers, Limits: a.limitOf(server.ID),
+		Service: req.Service.Name, Prompt: req.SharedPrefix, Tried: req.ExcludedServers,
+		Limits: a.limitOf(server.ID), Cold: a.coldNews(server.ID),
 	}
-	reply, owner, err := a.askOwners(ctx, args, server.AvailabilityZone)
+	reply, err := a.askOwners(ctx, args, server.AvailabilityZone)
 	switch {
 	case err != nil:
-		return nil, owner, &Refusal{Reason: ReasonCanceled, Server: server.ID, Owner: owner.Name}
+		return nil, reply, &Refusal{Reason: ReasonCanceled, Server: server.ID, Owner: reply.owner.Name}
 	case reply.Granted:
-		return &args.Ask, owner, nil
+		return &args.Ask, reply, nil
 	}
-	return nil, owner, &Refusal{
-		Reason: reply.Reason, Server: server.ID, Owner: owner.Name, Reply: reply, RetryAfter: reply.RetryAfter,
+	return nil, reply, &Refusal{
+		Reason: reply.Reason, Server: server.ID, Owner: reply.owner.Name, Reply: reply.AdmitReply, RetryAfter: reply.RetryAfter,
 	}
 }
 
 // askOwners asks the owner of the requested server. If the owner cannot be reached, it asks
 // the router that would own the server without that owner, and finally decides on its own,
-// except about a server with a limit: several routers that do so would exceed it together. It also
-// returns the router that decided. An error means that the context is done.
+// except about a server with a limit: several routers that do so would exceed it together. About a cold server each of
+// them, this one too, decides only if it takes itself for the owner. An error means that the context is done.
 func (a *Allocator) askOwners(
 	ctx context.Context, args *messenger.AdmitArgs, zone string,
-) (messenger.AdmitReply, messenger.Peer, error) {
+) (answer, error) {
 	req := &args.Ask
 	owners := a.Membership.Owners(req.Engine.ID, zone, maxOwnersAsked)
 	for _, owner := range owners {
+		askedAt := a.now()
 		if owner.Name == a.Self.Name {
 			reply, err := a.decideLocally(ctx, args)
-			return reply, a.Self, err
+			return a.newAnswer(askedAt, reply, a.Self), err
 		}
 		reply, err := a.askPeer(ctx, owner, args)
 		if err == nil {
-			return reply, owner, nil
+			return a.newAnswer(askedAt, reply, owner), nil
 		}
 		if ctx.Err() != nil {
 			a.sendCancel(owner, req)
-			return messenger.AdmitReply{}, owner, err
+			return answer{owner: owner}, err
 		}
 		a.Log("owner-lost", "owner", owner.Name, "server", req.Engine.ID, "err", err)
 		if failer.KindOf[messenger.Kind](err) == messenger.KindUnreachable {
@@ -323,10 +336,11 @@
 	if len(args.Limits) > 0 && len(owners) > 0 {
 		reply := messenger.AdmitReply{Reason: admitter.ReasonOwnerUnreachable, RetryAfter: retryAfterOwnerUnreachable}
 		a.suggestServer(args, &reply)
-		return reply, a.Self, nil
+		return answer{AdmitReply: reply, owner: a.Self}, nil
 	}
+	askedAt := a.now()
 	reply, err := a.decideLocally(ctx, args)
-	return reply, a.Self, err
+	return a.newAnswer(askedAt, reply, a.Self), err
 }
 
 // limitOf returns the limit that a server names, empty without one.
@@ -365,7 +379,9 @@
 ) (messenger.AdmitReply, error) {
 	req := &args.Ask
 	ch := make(chan admitter.Decision, 1)
+	var submittedAt time.Time
 	a.withAdmitter(func(now time.Time, ad *admitter.Admitter) {
+		submittedAt = now
 		if a.waiters == nil {
 			a.waiters = map[waiterKey]chan admitter.Decision{}
 		}
@@ -375,6 +391,9 @@
 	select {
 	case d := <-ch:
 		reply := newAdmitReply(d)
+		if !d.At.IsZero() {
+			reply.Waited = d.At.Sub(submittedAt)
+		}
 		a.suggestServer(args, &reply)
 		return reply, nil
 	case <-ctx.Done():
@@ -396,9 +415,9 @@
 	if reply.Granted || args.Ask.Spare || reply.Reason == ReasonCanceled {
 		return
 	}
-	servers, loads := a.Servers(args.Service), a.Loads()
 	tried := append(slices.Clip(args.Tried), args.Ask.Engine.ID)
-	limited := func(server string) bool { return len(a.limitOf(server)) > 0 }
+	servers, loads := a.withoutAvoided(a.Servers(args.Service), tried, nil), a.Loads()
+	limited := func(server string) bool { return len(a.limitOf(server)) > 0 || a.Avoid != nil && a.Avoid(server) }
 	if s, home := steerer.Alternative(args.Prompt, servers, loads, tried, reply.Reason, limited); s != nil {
 		reply.Elsewhere, reply.Home = s.ID, home
 	}
@@ -408,6 +427,6 @@
 	return messenger.AdmitReply{
 		Granted: d.Granted, Reason: d.Reason, RetryAfter: d.RetryAfter, Running: d.Running, Waiting: d.Waiting,
 		Backlog: d.Backlog, Limit: d.Limit, Retried: d.Retried, Ahead: d.Ahead, StartIn: d.StartIn, MaxWait: d.MaxWait,
-		Usage: d.Usage, Mean: d.MeanUsage,
+		Usage: d.Usage, Mean: d.MeanUsage, Cold: d.Cold,
 	}
 }
--- a/internal/conductor/assignment.go
+++ b/internal/conductor/assignment.go
@@ -28,15 +28,25 @@
 
 // assignServer assigns a server to a call: a slot on a model server, which the server's owner
 // grants, or a server of a plain service, which this router picks by itself. If the server
-// started to drain or asked for a pause while the call waited, it is excluded and another one is assigned.
+// started to drain, asked for a pause or became cold while the call waited, it is excluded and another one is assigned.
 func (n *node) assignServer(ctx context.Context, c *relayer.Call) (*relayer.Assignment, *relayer.Refusal) {
+	n.cold.hadTraffic.Store(true)
 	for {
 		assignment, r := n.tryAssignServer(ctx, c)
-		if r != nil || n.watcher.Usable(assignment.Server) && !n.isExcluded(assignment.Server) {
-			return assignment, r
+		if r != nil {
+			return nil, r
+		}
+		reason := ""
+		switch {
+		case !n.watcher.Usable(assignment.Server) || n.isExcluded(assignment.Server):
+			reason = "it leaves"
+		case assignment.MaySend != nil && !assignment.MaySend():
+			reason = "it is cold"
+		default:
+			return assignment, nil
 		}
 		assignment.Release(relayer.AttemptResult{Inconclusive: true})
-		n.log("place-given-back", "request", c.ID, "server", assignment.Server.ID, "why", "it leaves")
+		n.log("place-given-back", "request", c.ID, "server", assignment.Server.ID, "why", reason)
 		c.ExcludedServers = append(c.ExcludedServers, assignment.Server.ID)
 	}
 }
@@ -56,7 +66,7 @@
 	return n.pickPlainServer(ctx, c, servers)
 }
 
-// pickPlainServer picks a server of a plain service. If it names a limit, its owner decides whether the
+// pickPlainServer picks a server of a plain service. If it names a limit or is cold, its owner decides whether the
 // request may start there; if not, another server is picked.
 func (n *node) pickPlainServer(ctx context.Context, c *relayer.Call, servers []*cataloger.Server) (*relayer.Assignment, *relayer.Refusal) {
 	unlimited := n.withoutLimit(servers)
@@ -67,9 +77,12 @@
 		if s == nil {
 			break
 		}
-		refusal := n.awaitStart(ctx, c, s, len(unlimited) == 0 && !c.Standby)
+		grant, refusal := n.awaitStart(ctx, c, s, len(unlimited) == 0 && !c.Standby)
 		if refusal == nil {
-			return n.plainAssignment(s), nil
+			if refused != nil && refused.Reason == admitter.ReasonServerCold {
+				n.metrics.increment("cold-moved")
+			}
+			return n.withGrant(n.plainAssignment(s), grant), nil
 		}
 		n.balancer.RequestDone(time.Now(), s.ID, false, true, 0)
 		if refused == nil || refusal.RetryAfter < refused.RetryAfter {
@@ -101,11 +114,11 @@
 	}
 }
 
-// awaitStart asks the owner of a plain server with a limit whether a call may start there now or, if it may
-// wait, in time. It returns nil if the call may start, or the server has no limit.
-func (n *node) awaitStart(ctx context.Context, c *relayer.Call, s *cataloger.Server, mayWait bool) *allocator.Refusal {
-	if _, limited := n.limits.Rate(s.ID); !limited {
-		return nil
+// awaitStart asks the owner of a plain server with a limit, or one that is cold, whether a call may start there now or, if
+// it may wait, in time. It returns no refusal if the call may start, or the server has no limit.
+func (n *node) awaitStart(ctx context.Context, c *relayer.Call, s *cataloger.Server, mayWait bool) (allocator.Grant, *allocator.Refusal) {
+	if !n.isLimited(s.ID) {
+		return allocator.Grant{}, nil
 	}
 	req := &allocator.SlotRequest{
 		Workspace: c.Workspace, Service: c.Service, Arrived: c.Arrived, FirstEventBy: time.Now(), Deadline: c.Deadline,
@@ -124,7 +137,7 @@
 	if r != nil {
 		return nil, &relayer.Refusal{Reason: string(r.Reason), RetryAfter: r.RetryAfter, LogFields: refusalLogFields(r)}
 	}
-	return &relayer.Assignment{
+	return n.withGrant(&relayer.Assignment{
 		Server: slot.Server, ReportFirstEvent: slot.ReportFirstEvent, ReportSilence: slot.ReportSilence,
 		Release: func(result relayer.AttemptResult) {
 			if result.Inconclusive {
@@ -133,7 +146,7 @@
 			}
 			slot.Release(result.Failed || result.Refused, result.Complete)
 		},
-	}, nil
+	}, slot.Grant), nil
 }
 
 func refusalLogFields(r *allocator.Refusal) []any {
--- a/internal/conductor/cold_test.go
+++ b/internal/conductor/cold_test.go
@@ -7,6 +7,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"papayapaddle/internal/allocator"
+	"papayapaddle/internal/pacer"
+	"papayapaddle/internal/relayer"
+	"papayapaddle/internal/timer"
 	"papayapaddle/platform/standin"
 )
 
@@ -74,6 +78,7 @@
 	wg.Wait()
 	for s := range servers {
 		c.Check(s.MostColdRequests() <= coldAllowed, qt.IsTrue, qt.Commentf("%s got %d requests in a second, %d are allowed", s.ID, s.MostColdRequests(), coldAllowed))
+		t.Logf("%s got %d requests while it was cold, at most %d in a second", s.ID, s.ColdRequests(), s.MostColdRequests())
 		c.Check(s.ColdRequests() > 0, qt.IsTrue, qt.Commentf("%s got no request in %v", s.ID, duration-coldNotice))
 	}
 }
@@ -105,3 +110,61 @@
 	c.Assert(s.ColdRequests() > 0, qt.IsTrue)
 	c.Assert(most <= coldAllowed, qt.IsTrue, qt.Commentf("%d requests in a second, %d are allowed", most, coldAllowed))
 }
+
+// Guards against a cold period that only one router knows of, and against health requests that a cold server gets on top of
+// what it tolerates.
+func TestHealthRequestsNeedStartsOfColdServer(t *testing.T) {
+	c := qt.New(t)
+	f := newColdFleet(c, "a", "b")
+	a, b := f.routers["a"].node, f.routers["b"].node
+	for _, id := range []string{f.cluster.ModelServers[0].ID, f.cluster.PlainServers[0].ID} {
+		s := a.watcher.ServerSet().ByID[id]
+		c.Assert(a.mayStartProbe(t.Context(), s), qt.IsTrue, qt.Commentf("%s is warm", id))
+		// It is said again, as the test may take longer than a period.
+		again := func() { a.beginCold(s, pacer.ColdEvacuation) }
+		again()
+		eventually(c, "the other router knows that "+id+" is cold", func() bool {
+			again()
+			return b.isCold(id)
+		})
+		eventually(c, "the owner lets a health request start", func() bool {
+			again()
+			return b.mayStartProbe(t.Context(), s)
+		})
+		start, allowed := time.Now(), 0
+		for range 12 {
+			again()
+			for _, n := range []*node{a, b} {
+				if n.isCold(id) && n.mayStartProbe(t.Context(), s) {
+					allowed++
+				}
+			}
+		}
+		most := int(testColdStart.PerSecond*(time.Since(start)+pacer.GrantTTL).Seconds()) + 1
+		c.Assert(allowed <= most, qt.IsTrue, qt.Commentf("%s: %d health requests in %v, %d are allowed", id, allowed, time.Since(start), most))
+		for _, n := range []*node{a, b} {
+			for _, s := range n.allocator.Dump() {
+				c.Assert(s.Running, qt.Equals, 0, qt.Commentf("%s holds a slot", s.Server))
+			}
+		}
+	}
+}
+
+// Guards against requests that are sent to a cold server with a grant from before it was known to be cold, with one that is
+// too old, with that of a router of the release before, or without any.
+func TestGrantsForColdServersExpire(t *testing.T) {
+	c := qt.New(t)
+	f := newColdFleet(c, "a")
+	n := f.routers["a"].node
+	s := n.watcher.ServerSet().ByID[f.cluster.PlainServers[0].ID]
+	now := timer.SinceBoot()
+	old := allocator.Grant{Cold: true, At: now - pacer.GrantTTL}
+	c.Check(n.mayUseGrant(s, old), qt.IsTrue, qt.Commentf("the server is warm"))
+	n.logCold(n.cold.servers.Record(now, pacer.ColdResponse, s.ID, s.StartedUnixMilli, time.Minute))
+	c.Check(n.mayUseGrant(s, old), qt.IsFalse)
+	c.Check(n.mayUseGrant(s, allocator.Grant{At: timer.SinceBoot()}), qt.IsFalse)
+	c.Check(n.mayUseGrant(s, allocator.Grant{}), qt.IsFalse)
+	c.Check(n.mayUseGrant(s, allocator.Grant{Cold: true, At: timer.SinceBoot()}), qt.IsTrue)
+	assignment := n.withGrant(&relayer.Assignment{Server: s}, old)
+	c.Check(assignment.MaySend(), qt.IsFalse)
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -117,7 +117,9 @@
 	// excluder holds the servers that told this router to send them nothing.
 	excluder excluder.Excluder
 	// limits holds the rates that servers name in their answers.
-	limits     pacer.Limits
+	limits pacer.Limits
+	// cold holds the servers that are cold.
+	cold       coldState
 	metrics    *metricSet
 	limiter    *concurrencyLimiter
 	refusalLog refusalLogLimiter
@@ -229,8 +231,10 @@
 		Self: n.self, Membership: n.membership, Messenger: m, Log: n.log,
 		Admitter: admitter.Admitter{
 			UsageTimeConstant: time.Duration(float64(n.settings.Bounds.QuotaWindow()) * usageDecayFraction), Limit: n.ownedLimit,
+			Cold: n.ownedCold,
 		},
-		Limit: n.limitNews,
+		Limit: n.limitNews, Cold: n.coldNews, Avoid: n.isColdOrWarming, Now: timer.SinceBoot,
+		OnMoved: func() { n.metrics.increment("cold-moved") },
 		Servers: func(service string) []*cataloger.Server {
 			if set := w.ServerSet(); set != nil {
 				servers, _ := n.withoutExcluded(set.ByService[service])
@@ -312,6 +316,7 @@
 	n.setReleases(set)
 	n.retainExclusions(set)
 	n.retainLimits(set)
+	n.observeColdServers(set)
 	n.crashDetector.handleServerList(set.ByID)
 }
 
--- a/internal/conductor/exclusion.go
+++ b/internal/conductor/exclusion.go
@@ -21,6 +21,7 @@
 // down, or that it wants a pause.
 func (n *node) handleServerResponse(s *cataloger.Server, requestID string, sentAt time.Duration, info relayer.ResponseInfo) {
 	n.recordLimit(s, requestID, sentAt, info)
+	n.recordCold(s, info)
 	if info.InvalidPause != "" {
 		n.log("server-pause-unreadable", "server", s.ID, "request", requestID, "value", info.InvalidPause[:min(len(info.InvalidPause), maxLoggedValue)])
 	}
@@ -48,6 +49,9 @@
 		n.metrics.increment("servers-back")
 		n.log("server-back", "server", s.ID, "address", s.Address)
 	}
+	if cause == "" && n.isCold(s.ID) {
+		n.metrics.increment("cold-starts")
+	}
 	return cause == ""
 }
 
--- a/internal/conductor/gossip.go
+++ b/internal/conductor/gossip.go
@@ -73,6 +73,7 @@
 		}
 		previouslyTimedOut = timedOut
 		n.quarantiner.Tick(timer.SinceBoot())
+		n.tickCold()
 	}
 }
 
@@ -211,6 +212,7 @@
 	out.CrashDigest, out.CrashEvidence = n.quarantiner.ForPeer(timer.SinceBoot(), peer)
 	acked, seen := n.membership.LimitsExchanged(peer)
 	out.Limits, out.LimitsSeen = n.limits.ForPeer(timer.SinceBoot(), acked), seen
+	n.fillColdGossip(peer, &out)
 	if n.membership.FillGossip(peer, &out) {
 		out.Loads, out.Grants, out.GrantsSeen = n.allocator.GossipForPeer(peer, n.membership.AckedGrants(peer))
 	}
@@ -239,6 +241,7 @@
 	}
 	n.quarantiner.ApplyGossip(timer.SinceBoot(), in.From.Name, in.CrashDigest, in.CrashEvidence)
 	n.applyLimitNews(in.From.Name, in.Limits.News)
+	n.applyColdNews(in.From.Name, in.Cold.News)
 	n.allocator.ApplyGossip(in.From.Name, in.Loads, in.Grants)
 	if in.KnowsEras {
 		n.watcher.ApplyPeerContact(in.From.Name, in.StoreEra, in.Contact)
--- a/internal/conductor/limit.go
+++ b/internal/conductor/limit.go
@@ -54,14 +54,20 @@
 	return nil
 }
 
-// withoutLimit returns the servers that name no limit.
+// isLimited reports whether the owner of a server decides when requests start there: it names a limit, or is cold.
+func (n *node) isLimited(server string) bool {
+	_, limited := n.limits.Rate(server)
+	return limited || n.isColdOrWarming(server)
+}
+
+// withoutLimit returns the servers that name no limit and are not cold.
 func (n *node) withoutLimit(servers []*cataloger.Server) []*cataloger.Server {
-	if len(n.limits.Rates()) == 0 {
+	if len(n.limits.Rates()) == 0 && n.cold.servers.Empty() {
 		return servers
 	}
 	var out []*cataloger.Server
 	for _, s := range servers {
-		if _, limited := n.limits.Rate(s.ID); !limited {
+		if !n.isLimited(s.ID) {
 			out = append(out, s)
 		}
 	}
@@ -71,6 +77,7 @@
 // handleAdmit answers the admission request of a peer.
 func (n *node) handleAdmit(args *messenger.AdmitArgs) messenger.AdmitReply {
 	n.applyLimitNews(args.Ask.Router, args.Limits)
+	n.applyColdNews(args.Ask.Router, args.Cold)
 	return n.allocator.HandleAdmit(args)
 }
 
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -99,6 +99,8 @@
 	QuarantinedParts []string `json:"quarantined-parts,omitempty"`
 	// ServerLimits are the rates, in requests a second, that servers name in their answers, by ID.
 	ServerLimits map[string]float64 `json:"server-limits,omitempty"`
+	// ColdServers holds how many milliseconds longer servers stay cold, by ID.
+	ColdServers map[string]int64 `json:"cold-servers-ms,omitempty"`
 	// Listed describes all known backend servers by ID.
 	Listed map[string]string `json:"listed-servers"`
 }
@@ -108,8 +110,9 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.write(w)
-		fmt.Fprintf(w, "active-requests %d\nbody-bytes %d\nrouters-reachable %d\nlag-ms %d\n",
-			n.relayer.Active(), n.relayer.BodyBudget.UsedBytes(), len(n.membership.Reachable()), time.Duration(n.limiter.lag.Load()).Milliseconds())
+		fmt.Fprintf(w, "active-requests %d\nbody-bytes %d\nrouters-reachable %d\nlag-ms %d\nservers-cold %d\n",
+			n.relayer.Active(), n.relayer.BodyBudget.UsedBytes(), len(n.membership.Reachable()), time.Duration(n.limiter.lag.Load()).Milliseconds(),
+			len(n.coldMillis()))
 	})
 	r.HandleFunc("/state", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
@@ -127,7 +130,7 @@
 		Self: n.self, Beliefs: n.watcher.Describe(), Unready: n.unreadyReason(), Reachable: n.membership.Reachable(),
 		Active: n.relayer.Active(), BodyBytes: n.relayer.BodyBudget.UsedBytes(), Servers: n.allocator.Dump(),
 		Listed: map[string]string{}, QuarantinedParts: n.describeVerdicts(),
-		ServerLimits: n.limits.Rates(),
+		ServerLimits: n.limits.Rates(), ColdServers: n.coldMillis(),
 	}
 	if set := n.watcher.ServerSet(); set != nil {
 		for id, v := range set.ByID {
--- a/internal/messenger/hubs.go
+++ b/internal/messenger/hubs.go
@@ -219,6 +219,7 @@
 		m.ackedGrants = gossip.GrantsSeen
 		if m.Incarnation == gossip.From.Incarnation {
 			m.ackedLimits, m.seenLimits = gossip.LimitsSeen, gossip.Limits.Seen(m.seenLimits)
+			m.ackedCold, m.seenCold = gossip.ColdSeen, gossip.Cold.Seen(m.seenCold)
 		}
 	}
 	if gossip.Fleet.Size > 0 {
--- a/internal/messenger/membership.go
+++ b/internal/messenger/membership.go
@@ -21,6 +21,8 @@
 	mu    sync.Mutex
 	peers map[string]*member
 	now   func() time.Duration
+	// startedAt is when the membership was created.
+	startedAt time.Duration
 	// stopping says that this router no longer owns backend servers.
 	stopping bool
 	// zoneCount and fleetCount are the last totals that a hub sent to this leaf.
@@ -70,6 +72,8 @@
 	// ackedLimits and seenLimits are the sequence numbers of the last changes of limits that it has
 	// acknowledged and that it has sent.
 	ackedLimits, seenLimits uint64
+	// ackedCold and seenCold are the same of the periods in which servers are cold.
+	ackedCold, seenCold uint64
 
 	// The fields below are used in large fleets only. unansweredSince is when the first of
 	// the gossip calls was made that it has not answered, 0 if there is none. ourHub says
@@ -102,7 +106,7 @@
 
 // NewMembership returns a membership that contains only self. now reads the boot clock.
 func NewMembership(self Peer, failureTimeout time.Duration, now func() time.Duration) *Membership {
-	return &Membership{Self: self, FailureTimeout: failureTimeout, now: now, peers: map[string]*member{}}
+	return &Membership{Self: self, FailureTimeout: failureTimeout, now: now, startedAt: now(), peers: map[string]*member{}}
 }
 
 // Add adds routers that peers reported or the platform lists, and returns those that are
@@ -210,6 +214,16 @@
 	return 0, 0
 }
 
+// ColdExchanged returns the same as LimitsExchanged for the periods in which servers are cold.
+func (r *Membership) ColdExchanged(name string) (acked, seen uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.peers[name]; m != nil {
+		return m.ackedCold, m.seenCold
+	}
+	return 0, 0
+}
+
 // MarkUnreachable records that a call to a router failed.
 func (r *Membership) MarkUnreachable(name string) {
 	r.mu.Lock()
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -58,6 +58,9 @@
 	// the Till of the last ones that the sender has received.
 	Limits     pacer.Update
 	LimitsSeen uint64
+	// Cold are changes of the periods in which backend servers are cold, and ColdSeen acknowledges the receiver's.
+	Cold     pacer.ColdUpdate
+	ColdSeen uint64
 	// Known is a sample of the reachable routers that the sender knows, and in a large
 	// fleet those that restarted recently.
 	Known []Peer
@@ -104,6 +107,8 @@
 	// Limits holds the limit that the server names, if the sender knows one. The receiver may have become its
 	// owner only just now.
 	Limits []pacer.News
+	// Cold holds the period in which the server is cold, for the same reason.
+	Cold []pacer.ColdNews
 }
 
 // AdmitReply is the owner's decision.
@@ -122,6 +127,10 @@
 	MaxWait time.Duration
 	Usage   float64
 	Mean    float64
+	// Waited is how long the request waited for the decision. Cold says that the server was cold at the decision, so that
+	// a grant must be used soon.
+	Waited time.Duration
+	Cold   bool
 	// Elsewhere is the ID of a server to try instead, empty if none is known. Home says
 	// that this server becomes the prompt's new home, not only an overflow server for
 	// this request.
--- a/internal/pacer/cold.go
+++ b/internal/pacer/cold.go
@@ -49,8 +49,9 @@
 	ColdEntry    ColdCause = "entry"
 	ColdResponse ColdCause = "response"
 	ColdStart    ColdCause = "start"
-	// ColdPeer: a peer reported it.
-	ColdPeer ColdCause = "peer"
+	// ColdPeer: a peer reported it. ColdEvacuation: the evacuation of its zone ended.
+	ColdPeer       ColdCause = "peer"
+	ColdEvacuation ColdCause = "evacuation"
 )
 
 // ColdChange is a cold period that began, or is longer than was known.
@@ -176,14 +177,14 @@
 	return changes
 }
 
-// Record applies a statement of a server that it stays cold for a duration.
-func (c *ColdServers) Record(now time.Duration, server string, startedUnixMilli int64, remaining time.Duration) []ColdChange {
+// Record applies that a server stays cold for a duration, as it states in a response or for another cause.
+func (c *ColdServers) Record(now time.Duration, cause ColdCause, server string, startedUnixMilli int64, remaining time.Duration) []ColdChange {
 	if remaining <= 0 {
 		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.apply(nil, now, ColdResponse, ColdNews{Server: server, StartedUnixMilli: startedUnixMilli, Remaining: remaining})
+	return c.apply(nil, now, cause, ColdNews{Server: server, StartedUnixMilli: startedUnixMilli, Remaining: remaining})
 }
 
 // ApplyNews applies what a peer knows.
--- a/internal/pacer/cold_test.go
+++ b/internal/pacer/cold_test.go
@@ -55,7 +55,7 @@
 			case "unlisted":
 				changes = cold.Observe(now, wall(), nil, traffic)
 			case "response":
-				changes = cold.Record(now, "a", started, duration("cold"))
+				changes = cold.Record(now, ColdResponse, "a", started, duration("cold"))
 			case "peer":
 				hops, _ := strconv.Atoi(args["hops"])
 				changes = cold.ApplyNews(now, []ColdNews{{Server: "a", StartedUnixMilli: started, Remaining: duration("cold"), StartRemaining: duration("start"), Hops: hops}})
@@ -113,7 +113,7 @@
 			if rapid.IntRange(0, 4).Draw(rt, "step") == 0 {
 				left := time.Duration(rapid.IntRange(1, 3000).Draw(rt, "cold")) * time.Millisecond
 				stated = max(stated, now+left)
-				cold[i].Record(now, "s", 1, left)
+				cold[i].Record(now, ColdResponse, "s", 1, left)
 				if until(i) < now+left {
 					rt.Fatalf("router %d has heard of %v more, and knows of %v", i, left, until(i)-now)
 				}
@@ -148,7 +148,7 @@
 		cold.ApplyNews(time.Minute, []ColdNews{{Server: fmt.Sprint("s", i), Remaining: 1000 * time.Hour}})
 	}
 	c.Assert(cold.periods, qt.HasLen, maxServers)
-	c.Assert(cold.Record(time.Minute, "listed", 0, time.Second), qt.HasLen, 1)
+	c.Assert(cold.Record(time.Minute, ColdResponse, "listed", 0, time.Second), qt.HasLen, 1)
 	c.Assert(cold.periods, qt.HasLen, maxServers)
 	for _, n := range []ColdNews{{Remaining: 1}, {Server: "x", Remaining: -1}, {Server: "x", Remaining: 1, Hops: -1}} {
 		c.Assert(new(ColdServers).ApplyNews(time.Minute, []ColdNews{n}), qt.HasLen, 0)
--- a/internal/rehearser/engine.go
+++ b/internal/rehearser/engine.go
@@ -45,7 +45,9 @@
 	// crashes is how often the engine has crashed, and downUntil until when it refuses requests.
 	crashes int
 	// limit is nil while the engine names none.
-	limit     *engineLimit
+	limit *engineLimit
+	// cold is nil while the engine is not cold.
+	cold      *engineCold
 	downUntil time.Duration
 }
 
--- a/internal/rehearser/load.go
+++ b/internal/rehearser/load.go
@@ -59,7 +59,7 @@
 
 // Event is a temporary change of the requests or a temporary engine fault.
 type Event struct {
-	// Kind is burst, hot-workspace, hot-part, slow-engines, dead-engines, limited-engines, deadly-part or
+	// Kind is burst, hot-workspace, hot-part, slow-engines, dead-engines, limited-engines, cold-engines, deadly-part or
 	// deadly-request.
 	Kind            string  `yaml:"kind"`
 	StartSecond     float64 `yaml:"at"`
@@ -74,7 +74,8 @@
 	WorkspaceRank int `yaml:"workspace"`
 	// EngineCount is the number of engines with the fault.
 	EngineCount int `yaml:"count"`
-	// LimitPerSecond is the limit, in requests a second, that each of limited-engines names.
+	// LimitPerSecond is the limit, in requests a second, that each of limited-engines names, or that each of cold-engines
+	// tolerates.
 	LimitPerSecond float64 `yaml:"limit-per-second"`
 }
 
@@ -114,7 +115,7 @@
 	}
 	for _, e := range wl.Events {
 		switch e.Kind {
-		case "burst", "hot-workspace", "hot-part", "slow-engines", "dead-engines", "limited-engines", "deadly-part", "deadly-request":
+		case "burst", "hot-workspace", "hot-part", "slow-engines", "dead-engines", "limited-engines", "cold-engines", "deadly-part", "deadly-request":
 		default:
 			problems = append(problems, fmt.Sprintf("event kind %q is not known", e.Kind))
 		}
--- a/internal/rehearser/rehearser.go
+++ b/internal/rehearser/rehearser.go
@@ -11,6 +11,7 @@
 
 	"papayapaddle/internal/admitter"
 	"papayapaddle/internal/cataloger"
+	"papayapaddle/internal/pacer"
 	"papayapaddle/internal/quarantiner"
 	"papayapaddle/internal/steerer"
 )
@@ -76,6 +77,9 @@
 	quarantiner quarantiner.Quarantiner
 	// limits holds the limits of engines that the routers know.
 	limits map[string]float64
+	// cold holds the cold engines that the routers know, and coldPerSecond the rate of each.
+	cold          pacer.ColdServers
+	coldPerSecond float64
 }
 
 // epoch is the wall clock time at which virtual time starts.
@@ -96,6 +100,7 @@
 		perSecond, limited := sim.limits[server]
 		return perSecond, limited
 	}
+	sim.admitter.Cold = sim.coldLimit
 	sim.report.Classes = map[string]*Score{}
 	sim.report.Workspaces = make([]Score, wl.WorkspaceCount)
 	for i := range wl.EngineCount {
@@ -109,6 +114,7 @@
 	for _, e := range wl.Events {
 		sim.scheduleEngineFaults(e)
 		sim.scheduleLimits(e)
+		sim.scheduleCold(e)
 	}
 	end := time.Duration(wl.DurationSeconds*float64(time.Second)) + drainTime
 	sim.tick(end)
@@ -131,6 +137,7 @@
 func (sim *simulation) tick(end time.Duration) {
 	sim.admitter.Tick(sim.wallClock())
 	sim.quarantiner.Tick(sim.now)
+	sim.cold.Tick(sim.now)
 	for _, s := range sim.admitter.Dump(sim.wallClock()) {
 		if s.Waiting > 0 && s.Running == 0 {
 			sim.report.IdleEngineSamples++
@@ -227,7 +234,7 @@
 		r.redirected, r.retryAfter = true, d.RetryAfter
 		limited := func(server string) bool {
 			_, ok := sim.limits[server]
-			return ok
+			return ok || sim.isCold(server)
 		}
 		if s, home := steerer.Alternative(r.sharedPrefix(), sim.servers, sim.loads, []string{r.engine.id}, d.Reason, limited); s != nil {
 			sim.schedule(networkDelay, func() { sim.submit(r, s, !home) })
@@ -266,6 +273,7 @@
 		sim.report.DeadlySent++
 	}
 	sim.recordLimitedStart(eng)
+	sim.recordColdStart(eng)
 	if _, ok := eng.prefixUsedAt[r.prefix]; !ok && r.prefixTokens > 0 {
 		sim.report.PrefixTokensPrefilled += r.prefixTokens
 	}
--- a/internal/rehearser/rehearser_test.go
+++ b/internal/rehearser/rehearser_test.go
@@ -47,6 +47,7 @@
 		check("longest-tenth", r.LongPrompts.ServedRatio()/r.Total.ServedRatio(), false)
 		check("deadly-sent", float64(r.DeadlySent), true)
 		check("over-limit", r.OverLimit, true)
+		check("over-cold", r.OverCold, true)
 		check("wrongly-quarantined", float64(r.WronglyQuarantined), true)
 		for name, c := range r.Classes {
 			if d.HasArg("class") {
--- a/internal/rehearser/report.go
+++ b/internal/rehearser/report.go
@@ -60,6 +60,8 @@
 	// OverLimit is the largest ratio of the requests that an engine with a limit got in some limitWindow to those
 	// that the users allow it.
 	OverLimit float64
+	// OverCold is the same of cold engines and coldWindow.
+	OverCold float64
 
 	usage          [][]usageSecond
 	largestRequest float64
@@ -190,6 +192,9 @@
 	if r.OverLimit > 0 {
 		fmt.Fprintf(w, "over-limit %.2f\n", r.OverLimit)
 	}
+	if r.OverCold > 0 {
+		fmt.Fprintf(w, "over-cold %.2f\n", r.OverCold)
+	}
 	if r.DeadlySent > 0 {
 		fmt.Fprintf(w, "engine-crashes %d deadly-sent %d wrongly-quarantined %d\n", r.EngineCrashes, r.DeadlySent, r.WronglyQuarantined)
 	}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -66,8 +66,9 @@
 	return assignment, true
 }
 
-// newRequest returns the request as it is sent to a server, and a reading of the boot clock.
-func (x *exchange) newRequest(server *cataloger.Server, lastEvent string) (*sender.Request, time.Duration) {
+// newRequest returns the request as it is sent to the assigned server, and a reading of the boot clock.
+func (x *exchange) newRequest(assignment *Assignment, lastEvent string) (*sender.Request, time.Duration) {
+	server := assignment.Server
 	x.call.ExcludedServers = append(x.call.ExcludedServers, server.ID)
 	sentAt := timer.SinceBoot()
 	out := &sender.Request{
@@ -86,8 +87,8 @@
 		},
 		OnResponse: func(status int, h http.Header) { x.reportResponse(server, sentAt, status, h) },
 	}
-	if x.MaySend != nil {
-		out.MaySend = func() bool { return x.MaySend(server) }
+	out.MaySend = func() bool {
+		return (assignment.MaySend == nil || assignment.MaySend()) && (x.MaySend == nil || x.MaySend(server))
 	}
 	return out, sentAt
 }
@@ -103,7 +104,7 @@
 	resp, err := x.Send(ctx, out)
 	if err != nil {
 		kind := failer.KindOf[sender.Kind](err)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, sender.ErrWithdrawn) {
 			x.CloseIdle(server.ID, server.Address)
 		}
 		return nil, &attemptFailure{
@@ -200,7 +201,7 @@
 			return
 		}
 		start, server := time.Now(), assignment.Server
-		out, sentAt := x.newRequest(server, "")
+		out, sentAt := x.newRequest(assignment, "")
 		x.serverID = server.ID
 		resp, failure := x.sendRequest(ctx, server, out)
 		if failure == nil || failure.sent {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -107,7 +107,7 @@
 		server: assignment.Server, assignment: assignment, eventsBefore: s.eventCount, startedAt: time.Now(),
 	}
 	a.lastEventAt = a.startedAt
-	a.request, a.sentAt = x.newRequest(assignment.Server, s.lastID)
+	a.request, a.sentAt = x.newRequest(assignment, s.lastID)
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	if len(s.attempts) == 0 {
 		s.leader, x.serverID = a, a.server.ID
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -106,6 +106,8 @@
 // Assignment permits one attempt of a call on a server.
 type Assignment struct {
 	Server *cataloger.Server
+	// MaySend reports whether the assignment may still be used, just before the request is written. If nil, it may.
+	MaySend func() bool
 	// ReportFirstEvent must be called at the first event of a stream.
 	// It must be called again at the first event after ReportSilence.
 	ReportFirstEvent func()
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -201,7 +201,7 @@
 func (s *Sender) Send(ctx context.Context, r *Request) (*Response, error) {
 	for {
 		resp, reused, err := s.sendOnce(ctx, r)
-		if reused && failer.KindOf[Kind](err) == KindNotSent && !errors.Is(err, errWithdrawn) && ctx.Err() == nil {
+		if reused && failer.KindOf[Kind](err) == KindNotSent && !errors.Is(err, ErrWithdrawn) && ctx.Err() == nil {
 			// The idle connection was broken and nothing was written to it.
 			s.CloseIdle(r.Server, r.Address)
 			continue
@@ -257,7 +257,8 @@
 	return c, nil
 }
 
-var errWithdrawn = errors.New("the server wants no requests any more")
+// ErrWithdrawn is the cause of an error if the request was not sent because MaySend did not permit it.
+var ErrWithdrawn = errors.New("the server wants no requests any more")
 
 var errInvalidResponse = errors.New("garbled answer")
 
@@ -265,7 +266,7 @@
 func (c *conn) roundTrip(r *Request) (*Response, error) {
 	c.wroteAny = false
 	if r.MaySend != nil && !r.MaySend() {
-		return nil, errWithdrawn
+		return nil, ErrWithdrawn
 	}
 	if err := c.writeRequest(r); err != nil {
 		// The server may have responded before it read the whole request, so the response is
