--- a/internal/conductor/cold.go
+++ b/internal/conductor/cold.go
@@ -19,8 +19,13 @@
 	"papayapaddle/internal/watcher"
 )
 
-// probeStartTimeout limits how long a health request waits until it may start at a cold server.
-const probeStartTimeout = time.Second
+const (
+	// probeStartTimeout limits how long a health request waits until it may start at a cold server.
+	probeStartTimeout = time.Second
+	// unseenRestart is how long after its end a server may start again without the routers seeing it: its entry lapses
+	// after three heartbeats.
+	unseenRestart = 3600 * time.Millisecond
+)
 
 // coldState is what a router knows of cold servers, and which of them it may let requests start at.
 type coldState struct {
@@ -32,6 +37,8 @@
 
 	mu     sync.Mutex
 	tenure pacer.Tenure
+	// logged are the servers whose cold periods were logged, and have not ended.
+	logged map[string]bool
 	// owned are the servers that this router owns among those that may become cold, as they follow from candidates and
 	// servers.
 	owned      []string
@@ -122,7 +129,7 @@
 		n.cold.tenure.Lose(server)
 		return false
 	}
-	return n.cold.tenure.Settled(timer.SinceBoot(), server)
+	return n.cold.tenure.MayGrant(timer.SinceBoot(), server)
 }
 
 func (n *node) isOwner(s *cataloger.Server) bool {
@@ -134,7 +141,11 @@
 func (n *node) tickCold() {
 	n.updateTenure()
 	for _, id := range n.cold.servers.Tick(timer.SinceBoot()) {
-		if _, limited := n.coldService(id); limited {
+		n.cold.mu.Lock()
+		logged := n.cold.logged[id]
+		delete(n.cold.logged, id)
+		n.cold.mu.Unlock()
+		if logged {
 			n.metrics.increment("servers-warm")
 			n.log("server-warm", "server", id)
 		}
@@ -156,6 +167,10 @@
 			}
 		}
 	}
+	if len(n.cold.owned) == 0 {
+		n.cold.tenure.Update(timer.SinceBoot(), nil, 0, false)
+		return
+	}
 	share := n.membership.ReachableShare()
 	n.cold.share.Store(math.Float64bits(share))
 	n.cold.tenure.Update(timer.SinceBoot(), n.cold.owned, share, n.routersListedAt.Load() > 0)
@@ -183,10 +198,10 @@
 	n.logCold(n.cold.servers.Record(timer.SinceBoot(), pacer.ColdResponse, s.ID, s.StartedUnixMilli, info.ColdRemaining))
 }
 
-// beginCold makes a server cold as if it had just started.
-func (n *node) beginCold(s *cataloger.Server, cause pacer.ColdCause) {
-	if catalog := n.watcher.Catalog(); catalog != nil && catalog.Services[s.Service] != nil {
-		d := catalog.Services[s.Service].ColdStart
+// beginCold makes a server cold that starts, as far as this router knows, within a time from now.
+func (n *node) beginCold(s *cataloger.Server, cause pacer.ColdCause, within time.Duration) {
+	if service, limited := n.coldService(s.ID); limited && service != nil && service.ColdStart > 0 {
+		d := service.ColdStart + within
 		n.logCold(n.cold.servers.Record(timer.SinceBoot(), cause, s.ID, s.StartedUnixMilli, d))
 	}
 }
@@ -202,6 +217,12 @@
 		if _, limited := n.coldService(c.Server); !limited || !c.Began {
 			continue
 		}
+		n.cold.mu.Lock()
+		if n.cold.logged == nil {
+			n.cold.logged = map[string]bool{}
+		}
+		n.cold.logged[c.Server] = true
+		n.cold.mu.Unlock()
 		n.metrics.increment("servers-cold-seen")
 		n.log("server-cold", append([]any{"server", c.Server, "cause", c.Cause, "for-ms", c.Remaining.Milliseconds()}, source...)...)
 	}
@@ -224,7 +245,8 @@
 // mayUseGrant reports whether a request may be sent to a server with a grant. A cold server gets none without one, nor one
 // that was granted too long ago or before the server was known to be cold.
 func (n *node) mayUseGrant(s *cataloger.Server, g allocator.Grant) bool {
-	return !n.isCold(s.ID) || g.Fresh(timer.SinceBoot())
+	// Its owner may know that it is cold before this router does.
+	return !g.Cold && !n.isCold(s.ID) || g.Fresh(timer.SinceBoot())
 }
 
 // withGrant makes an assignment subject to a grant until its request is written.
--- a/internal/conductor/cold_test.go
+++ b/internal/conductor/cold_test.go
@@ -121,7 +121,7 @@
 		s := a.watcher.ServerSet().ByID[id]
 		c.Assert(a.mayStartProbe(t.Context(), s), qt.IsTrue, qt.Commentf("%s is warm", id))
 		// It is said again, as the test may take longer than a period.
-		again := func() { a.beginCold(s, pacer.ColdEvacuation) }
+		again := func() { a.beginCold(s, pacer.ColdEvacuation, 0) }
 		again()
 		eventually(c, "the other router knows that "+id+" is cold", func() bool {
 			again()
@@ -158,8 +158,9 @@
 	n := f.routers["a"].node
 	s := n.watcher.ServerSet().ByID[f.cluster.PlainServers[0].ID]
 	now := timer.SinceBoot()
-	old := allocator.Grant{Cold: true, At: now - pacer.GrantTTL}
-	c.Check(n.mayUseGrant(s, old), qt.IsTrue, qt.Commentf("the server is warm"))
+	old := allocator.Grant{Cold: true, At: now - pacer.GrantTTL - 1}
+	c.Check(n.mayUseGrant(s, allocator.Grant{}), qt.IsTrue, qt.Commentf("the server is warm"))
+	c.Check(n.mayUseGrant(s, old), qt.IsFalse, qt.Commentf("only its owner knows that it is cold"))
 	n.logCold(n.cold.servers.Record(now, pacer.ColdResponse, s.ID, s.StartedUnixMilli, time.Minute))
 	c.Check(n.mayUseGrant(s, old), qt.IsFalse)
 	c.Check(n.mayUseGrant(s, allocator.Grant{At: timer.SinceBoot()}), qt.IsFalse)
--- a/internal/conductor/quarantine.go
+++ b/internal/conductor/quarantine.go
@@ -6,6 +6,7 @@
 
 	"papayapaddle/internal/cataloger"
 	"papayapaddle/internal/linker"
+	"papayapaddle/internal/pacer"
 	"papayapaddle/internal/quarantiner"
 	"papayapaddle/internal/relayer"
 	"papayapaddle/internal/timer"
@@ -69,6 +70,8 @@
 			}
 			n.metrics.increment("server-crashes-seen")
 			n.log("server-ended", "server", s.ID, "born", s.StartedUnixMilli, "prompts", len(lost), "begun", begun)
+			// The next process at its address is cold, and the store may be away.
+			n.beginCold(s, pacer.ColdCrash, unseenRestart)
 			q.ReportCrash(timer.SinceBoot(), serverKey(s), releaseOf(s), lost)
 		},
 	}
--- a/internal/messenger/release_test.go
+++ b/internal/messenger/release_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/internal/pacer"
 )
 
 // previousGossip and previousFetchServersArgs are what the release before sends and expects; it knows no eras.
@@ -37,6 +39,7 @@
 		From: previous.From, Version: 3, ProvenAgo: 5, ServersChanged: 7, ServersAgo: 9, Contact: 11,
 	})
 	received.KnowsEras, received.StoreEra = true, 2
+	received.Cold, received.ColdSeen = pacer.ColdUpdate{News: []pacer.ColdNews{{Server: "s", Remaining: time.Second}}, Till: 3}, 4
 	var back previousGossip
 	convert(received, &back)
 	c.Assert(back, qt.Equals, previous)
--- a/internal/messenger/share_test.go
+++ b/internal/messenger/share_test.go
@@ -33,7 +33,7 @@
 		share := f.memberships[name].ReachableShare()
 		ts[name].Update(f.now, owned, share, true)
 		for _, server := range owned {
-			if ts[name].Settled(f.now, server) {
+			if ts[name].MayGrant(f.now, server) {
 				shares[server] = append(shares[server], share)
 			}
 		}
--- a/internal/pacer/cold.go
+++ b/internal/pacer/cold.go
@@ -52,6 +52,8 @@
 	// ColdPeer: a peer reported it. ColdEvacuation: the evacuation of its zone ended.
 	ColdPeer       ColdCause = "peer"
 	ColdEvacuation ColdCause = "evacuation"
+	// ColdCrash: it ended, and starts again.
+	ColdCrash ColdCause = "crash"
 )
 
 // ColdChange is a cold period that began, or is longer than was known.
--- a/internal/pacer/tenure.go
+++ b/internal/pacer/tenure.go
@@ -10,9 +10,9 @@
 // fleet there may be two. The rule then holds as follows.
 //
 //   - A request is written at most GrantTTL after its grant, or not at all. So what is written within a second was granted
-//     within SettleTime.
-//   - A router lets requests start only after it has been the owner for SettleTime. So all routers that grant within a
-//     period of SettleTime were owners at its beginning, and a sequence of owners counts no more than the owners of one
+//     within TenureTime.
+//   - A router lets requests start only after it has been the owner for TenureTime. So all routers that grant within a
+//     period of TenureTime were owners at its beginning, and a sequence of owners counts no more than the owners of one
 //     moment.
 //   - An owner reaches at least minOwnerShare of the fleet and uses the share that it reaches. So the sides of a partition
 //     together use the rate once, and only owners that many routers reach while they do not reach each other use it twice.
@@ -20,10 +20,12 @@
 const (
 	// GrantTTL is how long a grant for a cold server may be used.
 	GrantTTL = 100 * time.Millisecond
-	// SettleTime is how long a router must have been the owner of a cold server before it lets requests start there.
-	SettleTime = time.Second + GrantTTL
+	// TenureTime is how long a router must have been the owner of a cold server before it lets requests start there.
+	TenureTime = time.Second + GrantTTL
 	// minOwnerShare is the share of the fleet that the owner of a cold server must reach.
 	minOwnerShare = 0.5
+	// maxTenureAge is how old the last update may be. A router that was frozen no longer knows whether it is the owner.
+	maxTenureAge = 500 * time.Millisecond
 	// maxOwners is the number of owners at the same time for which the rule holds.
 	maxOwners = 2
 )
@@ -42,13 +44,14 @@
 // Rate returns the rate at which an owner lets requests start at a cold server that tolerates perSecond requests a second.
 func (r ColdRule) Rate(perSecond float64) float64 {
 	ownerStarts := max(1, math.Floor(r.Allowed(perSecond)/maxOwners))
-	return min(perSecond, ownerStarts/SettleTime.Seconds())
+	return min(perSecond, ownerStarts/TenureTime.Seconds())
 }
 
 // Tenure holds since when a router has been the owner of servers. The zero value is ready to use. It is not safe for
 // concurrent use.
 type Tenure struct {
-	since map[string]time.Duration
+	since     map[string]time.Duration
+	updatedAt time.Duration
 }
 
 // Update replaces the servers that the router owns. share is the share of the fleet that it reaches, and listed whether it
@@ -64,14 +67,14 @@
 			since[id] = at
 		}
 	}
-	t.since = since
+	t.since, t.updatedAt = since, now
 }
 
 // Lose ends the ownership of a server.
 func (t *Tenure) Lose(server string) { delete(t.since, server) }
 
-// Settled reports whether the router may let requests start at a cold server.
-func (t *Tenure) Settled(now time.Duration, server string) bool {
+// MayGrant reports whether the router may let requests start at a cold server.
+func (t *Tenure) MayGrant(now time.Duration, server string) bool {
 	since, ok := t.since[server]
-	return ok && now-since >= SettleTime
+	return ok && now-since >= TenureTime && now-t.updatedAt <= maxTenureAge
 }
--- a/internal/pacer/tenure_test.go
+++ b/internal/pacer/tenure_test.go
@@ -78,7 +78,7 @@
 				}
 				o.tenure.Update(now, owned, o.share, true)
 				at := begin.Add(now)
-				for wanted && o.tenure.Settled(now, "s") && !o.pacer.Next(at, rate*o.share).After(at) {
+				for wanted && o.tenure.MayGrant(now, "s") && !o.pacer.Next(at, rate*o.share).After(at) {
 					o.pacer.Take(at, rate*o.share)
 					delay := []time.Duration{0, 0, 30, 60, 100, 101, 400}[rng.IntN(7)] * time.Millisecond
 					if delay <= GrantTTL {
@@ -108,20 +108,23 @@
 	var o Tenure
 	update := func(now time.Duration, share float64, listed bool) { o.Update(now, []string{"s"}, share, listed) }
 	update(0, 1, false)
-	update(2*SettleTime, 1, false)
-	c.Check(o.Settled(2*SettleTime, "s"), qt.IsFalse, qt.Commentf("without the list of routers"))
-	now := 2 * SettleTime
+	update(2*TenureTime, 1, false)
+	c.Check(o.MayGrant(2*TenureTime, "s"), qt.IsFalse, qt.Commentf("without the list of routers"))
+	now := 2 * TenureTime
 	update(now, 1, true)
-	c.Check(o.Settled(now+SettleTime-1, "s"), qt.IsFalse)
-	c.Check(o.Settled(now+SettleTime, "s"), qt.IsTrue)
-	update(now+SettleTime, 0.4, true)
-	c.Check(o.Settled(now+SettleTime, "s"), qt.IsFalse, qt.Commentf("with less than half of the fleet"))
-	update(now+SettleTime, 0.5, true)
-	c.Check(o.Settled(now+SettleTime, "s"), qt.IsFalse)
-	c.Check(o.Settled(now+2*SettleTime, "s"), qt.IsTrue)
+	update(now+TenureTime-1, 1, true)
+	c.Check(o.MayGrant(now+TenureTime-1, "s"), qt.IsFalse)
+	c.Check(o.MayGrant(now+TenureTime, "s"), qt.IsTrue)
+	c.Check(o.MayGrant(now+10*TenureTime, "s"), qt.IsFalse, qt.Commentf("after a pause of the router"))
+	update(now+TenureTime, 0.4, true)
+	c.Check(o.MayGrant(now+TenureTime, "s"), qt.IsFalse, qt.Commentf("with less than half of the fleet"))
+	update(now+TenureTime, 0.5, true)
+	c.Check(o.MayGrant(now+TenureTime, "s"), qt.IsFalse)
+	update(now+2*TenureTime, 0.5, true)
+	c.Check(o.MayGrant(now+2*TenureTime, "s"), qt.IsTrue)
 	o.Lose("s")
-	c.Check(o.Settled(now+2*SettleTime, "s"), qt.IsFalse)
-	c.Check(o.Settled(now, "other"), qt.IsFalse)
+	c.Check(o.MayGrant(now+2*TenureTime, "s"), qt.IsFalse)
+	c.Check(o.MayGrant(now, "other"), qt.IsFalse)
 }
 
 // Guards against a rate that two owners at the same time could exceed the rule with, or that is too low to be of use.
--- a/internal/soaker/deployment_test.go
+++ b/internal/soaker/deployment_test.go
@@ -20,6 +20,8 @@
 	routerLimits       []platform.ResourceLimits
 	// zones are assigned to routers and servers in turn.
 	zones []string
+	// coldStart is zero if servers are never cold.
+	coldStart standin.ColdStart
 }
 
 // defaultDeployment is the deployment that the fixed seeds of make test use.
--- a/internal/soaker/faults_test.go
+++ b/internal/soaker/faults_test.go
@@ -89,6 +89,7 @@
 
 func disruptStoreProxies(s *soak, duration time.Duration) {
 	s.markDisturbed(duration)
+	s.markStoreDisturbed(duration)
 	if s.rng.IntN(3) > 0 {
 		s.injectProxyFault(s.storeProxies[s.rng.IntN(len(s.storeProxies))], duration)
 		return
@@ -119,6 +120,7 @@
 
 func makeStoreUnavailable(s *soak, duration time.Duration) {
 	s.markDisturbed(duration)
+	s.markStoreDisturbed(duration)
 	s.setStoreDown(true)
 	schedule(duration, func() { s.setStoreDown(false) })
 }
@@ -140,6 +142,7 @@
 	delay := time.Duration(s.rng.Int64N(int64(maxRewriteDelay)))
 	copied := s.cluster.Store.VersionAt(time.Now().Add(-time.Duration(s.rng.Int64N(int64(maxCopyAge)))))
 	s.markDisturbed(duration + delay)
+	s.markStoreDisturbed(duration + delay)
 	s.setStoreDown(true)
 	schedule(duration, func() {
 		s.cluster.Store.Restore(copied)
@@ -198,7 +201,10 @@
 	_, draining := s.drainingSince[server.ID]
 	s.mu.Unlock()
 	if !draining {
-		schedule(serverDowntime, func() { s.cluster.PutRestartedServer(server.ID, serviceOf(s.cluster, server)) })
+		schedule(serverDowntime, func() {
+			s.markCold(server.ID)
+			s.cluster.PutRestartedServer(server.ID, serviceOf(s.cluster, server))
+		})
 	}
 }
 
--- a/internal/soaker/harness_test.go
+++ b/internal/soaker/harness_test.go
@@ -84,6 +84,7 @@
 	// server may arrive late.
 	limits        map[string]*namedLimit
 	heldBackUntil map[string]time.Time
+	cold          coldServers
 	servedCounts  map[string]int
 	requestCounts map[string]int
 	// misbehaveUntil is the time until which backend servers mishandle a third of their requests.
@@ -345,7 +346,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cluster.Engine, cluster.Zones = d.engine, d.zones
+	cluster.Engine, cluster.Zones, cluster.ColdStart = d.engine, d.zones, d.coldStart
 	if err := cluster.AddSpareServers(spareServers); err != nil {
 		return nil, err
 	}
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -100,7 +100,7 @@
 }
 
 // runSeeds runs the soak with each of the seeds.
-func runSeeds(t *testing.T, seeds []uint64, plannedDuration, faultDuration time.Duration) {
+func runSeeds(t *testing.T, seeds []uint64, plannedDuration, faultDuration time.Duration, adjust ...func(*deployment)) {
 	dir := *logDirFlag
 	if dir == "" {
 		dir = t.TempDir()
@@ -122,6 +122,9 @@
 				d = randomDeployment(rand.New(rand.NewPCG(seed, 7)), *routersFlag)
 				t.Log(d.String())
 			}
+			for _, f := range adjust {
+				f(&d)
+			}
 			s, err := newSoak(logDir, binary, seed, d)
 			if err != nil {
 				t.Fatal(err)
@@ -159,6 +162,9 @@
 		callers.Go(client.run)
 	}
 	time.Sleep(time.Second)
+	if s.coldStart.Duration > 0 {
+		go s.runColdServers(rand.New(rand.NewPCG(s.seed, 10)))
+	}
 	s.injectPlanned(plannedDuration)
 	s.injectFaults(faultDuration)
 	s.clearFaults()
@@ -290,5 +296,5 @@
 	for _, r := range s.culprits {
 		deadly += len(r.reachedBy)
 	}
-	return fmt.Sprintf("%d requests: %v, %d that end servers reached one, %d lost answers", len(s.requests), counts, deadly, s.lostAnswers)
+	return fmt.Sprintf("%d requests: %v, %d that end servers reached one, %d lost answers%s", len(s.requests), counts, deadly, s.lostAnswers, s.coldSummary())
 }
