--- /dev/null
+++ b/internal/conductor/cold_test.go
@@ -0,0 +1,209 @@
+package conductor
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/internal/admitter"
+	"papayapaddle/internal/allocator"
+	"papayapaddle/internal/pacer"
+	"papayapaddle/internal/relayer"
+	"papayapaddle/internal/timer"
+	"papayapaddle/platform/standin"
+)
+
+// coldNotice is how long after a server became cold the rule begins to hold: its entry is written at once here,
+// and reaches routers within the time between two reads of the store.
+const coldNotice = 2 * time.Second
+
+var (
+	testColdStart = standin.ColdStart{Duration: 3 * time.Second, PerSecond: 8.3, Overage: 1.5, Tolerance: 5}
+	// coldAllowed is the number of requests that the rule allows in one second.
+	coldAllowed = testColdStart.Allowed()
+)
+
+// newColdFleet returns a fleet whose servers may be cold, and write their entries again and again.
+func newColdFleet(c *qt.C, names ...string) *fleet {
+	f := newFleet(c)
+	f.cluster.ColdStart = testColdStart
+	f.cluster.SetAPIKeys(standin.APIKey)
+	for _, name := range names {
+		f.start(name)
+	}
+	done := make(chan struct{})
+	c.Cleanup(func() { close(done) })
+	go f.cluster.KeepWriting(1200*time.Millisecond, done)
+	return f
+}
+
+// Guards against cold servers that get more requests from all routers together than they tolerate: the routers
+// learn it from the entry, one of them is stopped meanwhile, and requests go to models and to a plain service.
+func TestColdServersGetMoreThanTheyTolerate(t *testing.T) {
+	f := newColdFleet(qt.New(t), "a", "b", "c")
+	f.callColdServers(t, f.cluster.ModelServers[:1], f.cluster.PlainServers[:1])
+}
+
+// Guards against the same if no warm server is left.
+func TestAllServersAreCold(t *testing.T) {
+	f := newColdFleet(qt.New(t), "a", "b", "c")
+	f.callColdServers(t, f.cluster.ModelServers, f.cluster.PlainServers)
+}
+
+// callColdServers makes servers cold, sends requests through three routers and stops one of them.
+func (f *fleet) callColdServers(t *testing.T, models, plain []*standin.Server) {
+	c := f.c
+	const duration = 8 * time.Second
+	servers := map[*standin.Server]string{}
+	for _, s := range models {
+		servers[s] = standin.ModelService
+	}
+	for _, s := range plain {
+		servers[s] = standin.PlainService
+	}
+	start := time.Now()
+	var mu sync.Mutex
+	names := []string{"a", "b", "c"}
+	routers := func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return names
+	}
+	var wg sync.WaitGroup
+	for _, load := range []struct{ name, path, tokens string }{
+		{"plain", standin.PlainPrefix + "x", ""}, {"model", standin.ModelPrefix + "x", "100,30"},
+	} {
+		wg.Go(func() {
+			f.callSteadily(load.name, load.path, load.tokens, 10*time.Millisecond, start.Add(duration), routers)
+		})
+	}
+	for s, service := range servers {
+		f.cluster.SetCold(s, service, duration)
+	}
+	time.AfterFunc(coldNotice, func() {
+		for s := range servers {
+			s.ResetColdRequests()
+		}
+	})
+	time.AfterFunc(coldNotice+time.Second, func() {
+		mu.Lock()
+		names = []string{"a", "c"}
+		mu.Unlock()
+		_ = f.routers["b"].Stop(t.Context())
+	})
+	wg.Wait()
+	for s := range servers {
+		c.Check(s.MostColdRequests() <= coldAllowed, qt.IsTrue, qt.Commentf("%s got %d requests in a second, %d are allowed", s.ID, s.MostColdRequests(), coldAllowed))
+		t.Logf("%s got %d requests while it was cold, at most %d in a second", s.ID, s.ColdRequests(), s.MostColdRequests())
+		c.Check(s.ColdRequests() > 0, qt.IsTrue, qt.Commentf("%s got no request in %v", s.ID, duration-coldNotice))
+	}
+}
+
+// Guards against a server that started again during traffic and gets more requests than it tolerates, though its
+// entry does not say that it is cold.
+func TestRestartedServerIsColdWithoutSayingSo(t *testing.T) {
+	c := qt.New(t)
+	f := newColdFleet(c, "a", "b")
+	const coldFor = 6 * time.Second
+	f.cluster.ColdStart.Unstated, f.cluster.ColdStart.Duration = true, coldFor
+	f.cluster.SetAPIKeys(standin.APIKey)
+	s := f.cluster.PlainServers[0]
+	start := time.Now()
+	var most int
+	var mu sync.Mutex
+	s.OnColdRequest = func(inSecond int) {
+		mu.Lock()
+		defer mu.Unlock()
+		// The last second must be one in which routers know.
+		if coldFor-s.ColdRemaining() > coldNotice+time.Second {
+			most = max(most, inSecond)
+		}
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		f.callSteadily("plain", standin.PlainPrefix+"x", "", 10*time.Millisecond, start.Add(8*time.Second), func() []string { return []string{"a", "b"} })
+	})
+	time.AfterFunc(time.Second, s.Crash)
+	wg.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	c.Assert(s.ColdRequests() > 0, qt.IsTrue)
+	c.Assert(most <= coldAllowed, qt.IsTrue, qt.Commentf("%d requests in a second, %d are allowed", most, coldAllowed))
+}
+
+// Guards against requests that are kept from servers in a deployment whose services tolerate any number of them.
+func TestServersWithoutColdLimitAreNotCold(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, "a")
+	n := f.routers["a"].node
+	for _, s := range n.watcher.ServerSet().ByID {
+		n.recordCold(s, relayer.ResponseInfo{ColdRemaining: time.Minute})
+		c.Check(n.isCold(s.ID), qt.IsFalse)
+		c.Check(n.isLimited(s.ID), qt.IsFalse)
+		c.Check(n.ownedCold(s.ID), qt.Equals, admitter.ColdLimit{})
+		c.Check(n.mayStartProbe(t.Context(), s), qt.IsTrue)
+	}
+	c.Check(n.ownedCold("not listed"), qt.Equals, admitter.ColdLimit{})
+	c.Check(n.coldMillis(), qt.HasLen, 0)
+}
+
+// Guards against a cold period that only one router knows of, and against health requests that a cold server gets on top of
+// what it tolerates.
+func TestHealthRequestsNeedStartsOfColdServer(t *testing.T) {
+	c := qt.New(t)
+	f := newColdFleet(c, "a", "b")
+	a, b := f.routers["a"].node, f.routers["b"].node
+	for _, id := range []string{f.cluster.ModelServers[0].ID, f.cluster.PlainServers[0].ID} {
+		s := a.watcher.ServerSet().ByID[id]
+		c.Assert(a.mayStartProbe(t.Context(), s), qt.IsTrue, qt.Commentf("%s is warm", id))
+		// It is said again, as the test may take longer than a period.
+		again := func() { a.beginCold(s, pacer.ColdEvacuation, 0) }
+		again()
+		eventually(c, "the other router knows that "+id+" is cold", func() bool {
+			again()
+			return b.isCold(id)
+		})
+		eventually(c, "the owner lets a health request start", func() bool {
+			again()
+			return b.mayStartProbe(t.Context(), s)
+		})
+		start, allowed := time.Now(), 0
+		for range 12 {
+			again()
+			for _, n := range []*node{a, b} {
+				if n.isCold(id) && n.mayStartProbe(t.Context(), s) {
+					allowed++
+				}
+			}
+		}
+		most := int(testColdStart.PerSecond*(time.Since(start)+pacer.GrantTTL).Seconds()) + 1
+		c.Assert(allowed <= most, qt.IsTrue, qt.Commentf("%s: %d health requests in %v, %d are allowed", id, allowed, time.Since(start), most))
+		for _, n := range []*node{a, b} {
+			for _, s := range n.allocator.Dump() {
+				c.Assert(s.Running, qt.Equals, 0, qt.Commentf("%s holds a slot", s.Server))
+			}
+		}
+	}
+}
+
+// Guards against requests that are sent to a cold server with a grant from before it was known to be cold, with one that is
+// too old, with that of a router of the release before, or without any.
+func TestGrantsForColdServersExpire(t *testing.T) {
+	c := qt.New(t)
+	f := newColdFleet(c, "a")
+	n := f.routers["a"].node
+	s := n.watcher.ServerSet().ByID[f.cluster.PlainServers[0].ID]
+	now := timer.SinceBoot()
+	old := allocator.Grant{Cold: true, At: now - pacer.GrantTTL - 1}
+	c.Check(n.mayUseGrant(s, allocator.Grant{}), qt.IsTrue, qt.Commentf("the server is warm"))
+	c.Check(n.mayUseGrant(s, old), qt.IsFalse, qt.Commentf("only its owner knows that it is cold"))
+	n.logCold(n.cold.servers.Record(now, pacer.ColdResponse, s.ID, s.StartedUnixMilli, time.Minute))
+	c.Check(n.mayUseGrant(s, old), qt.IsFalse)
+	c.Check(n.mayUseGrant(s, allocator.Grant{At: timer.SinceBoot()}), qt.IsFalse)
+	c.Check(n.mayUseGrant(s, allocator.Grant{}), qt.IsFalse)
+	c.Check(n.mayUseGrant(s, allocator.Grant{Cold: true, At: timer.SinceBoot()}), qt.IsTrue)
+	assignment := n.withGrant(&relayer.Assignment{Server: s}, old)
+	c.Check(assignment.MaySend(), qt.IsFalse)
+}
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -63,6 +63,10 @@
 	Limit        float64
 	LimitNamed   bool
 	InvalidLimit string
+	// ColdRemaining is how much longer the server states that it stays cold, or 0. InvalidCold is the value of a
+	// statement that cannot be read.
+	ColdRemaining time.Duration
+	InvalidCold   string
 	// NotRun is true if the server states that it did not run the request.
 	NotRun bool
 }
@@ -102,6 +106,8 @@
 // Assignment permits one attempt of a call on a server.
 type Assignment struct {
 	Server *cataloger.Server
+	// MaySend reports whether the assignment may still be used, just before the request is written. If nil, it may.
+	MaySend func() bool
 	// ReportFirstEvent must be called at the first event of a stream.
 	// It must be called again at the first event after ReportSilence.
 	ReportFirstEvent func()
