--- a/internal/watcher/config.go
+++ b/internal/watcher/config.go
@@ -71,6 +71,7 @@
 
 // applyConfig installs the configuration of a batch.
 func (w *Watcher) applyConfig(b batch) answerUse {
+	w.applyEvacuations(b)
 	before := w.stored
 	if b.fullTable {
 		w.stored = storedConfig{}
--- a/internal/watcher/follower.go
+++ b/internal/watcher/follower.go
@@ -103,7 +103,7 @@
 		// Jitter keeps routers from retrying at the same time.
 		pauser.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, w.maxBackoff())
-		if _, confirmed := w.confirmationAge(state); confirmed {
+		if _, confirmed := w.knownAge(state); confirmed {
 			// A peer may have received an answer in the meantime.
 			w.waitUntilStale(ctx, state)
 		}
@@ -178,7 +178,7 @@
 // start together, a few of them read the store for all.
 func (w *Watcher) waitForPeers(ctx context.Context, state *tableState) {
 	for w.WaitForPeersUntil != nil {
-		if _, confirmed := w.confirmationAge(state); confirmed {
+		if _, confirmed := w.knownAge(state); confirmed {
 			w.waitUntilStale(ctx, state)
 			return
 		}
@@ -191,7 +191,7 @@
 // waitUntilStale waits until the confirmation is old or a peer has newer rows.
 func (w *Watcher) waitUntilStale(ctx context.Context, state *tableState) {
 	for {
-		age, ok := w.confirmationAge(state)
+		age, ok := w.knownAge(state)
 		left := w.ReadStoreAfter() - age
 		if !ok || left <= 0 || state.wanted.load().Compare(state.applied.load()) > 0 {
 			return
--- a/internal/watcher/servers.go
+++ b/internal/watcher/servers.go
@@ -248,10 +248,15 @@
 	set := &ServerSet{
 		ByService: map[string][]*cataloger.Server{},
 		ByID:      make(map[string]*cataloger.Server, len(w.entries)),
+		Evacuated: map[string]int{},
 	}
 	for id, s := range w.entries {
 		set.ByID[id] = s
-		if !s.Draining {
+		switch {
+		case s.Draining:
+		case w.isEvacuated(s.AvailabilityZone):
+			set.Evacuated[s.Service]++
+		default:
 			set.ByService[s.Service] = append(set.ByService[s.Service], s)
 		}
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -105,6 +105,15 @@
 	// lost. Neither may block.
 	OnEra     func(era uint64, restored bool)
 	OnSettled func(era uint64)
+	// EvacuatedZone, if set, returns the availability zone that a key of the configuration's table evacuates, if it does.
+	// OnEvacuations is then called with the zones that the store held at a position after each answer, before the answer
+	// confirms the configuration. EvacuationsAge returns the time since the evacuations were last confirmed to be the newest.
+	EvacuatedZone  func(key string) (zone string, ok bool)
+	OnEvacuations  func(zones []string, at Position, requestedAt time.Duration)
+	EvacuationsAge func() (time.Duration, bool)
+	// Evacuated, if set, reports whether the servers of an availability zone get no requests. RefreshServers must be
+	// called when that changes.
+	Evacuated func(zone string) bool
 
 	catalog      atomic.Pointer[installedCatalog]
 	serverSet    atomic.Pointer[ServerSet]
@@ -113,6 +122,8 @@
 	eras         eraState
 	// stored is used by the goroutine that follows the configuration only.
 	stored storedConfig
+	// storedZones are the evacuated zones at configState.next, used by the same goroutine only.
+	storedZones map[string]bool
 
 	// installMu serializes installations. serversMu guards the fields below it, except
 	// contactSince.
@@ -170,6 +181,8 @@
 	// ByService lists the servers that may receive requests.
 	ByService map[string][]*cataloger.Server
 	ByID      map[string]*cataloger.Server
+	// Evacuated counts the servers of each service that are left out only because of their availability zones.
+	Evacuated map[string]int
 }
 
 // Catalog returns the configuration in force, nil if there is none yet.
@@ -190,7 +203,7 @@
 		return false
 	}
 	current := set.ByID[s.ID]
-	return current != nil && current.SameIncarnation(s) && !current.Draining
+	return current != nil && current.SameIncarnation(s) && !current.Draining && !w.isEvacuated(current.AvailabilityZone)
 }
 
 // ConfigAge returns how long ago the configuration was last confirmed to be the newest.
