admitter, allocator, steerer: requests leave servers of evacuated zones

Cause: requests wait at the owner of a server, which may be evacuated meanwhile. Change: the owner refuses them at once with server-evacuated and names another server; the router that asked excludes those servers and tries again, as it may learn of the evacuation last.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -104,6 +104,8 @@
 	// Limit returns the requests a second that may start on a server, and whether it has such a limit. If nil,
 	// no server has.
 	Limit func(server string) (perSecond float64, limited bool)
+	// Evacuated reports whether a server gets no requests, as its zone is evacuated. If nil, no server is.
+	Evacuated func(server string) bool
 
 	engines   map[string]*engineState
 	usage     usageTracker
@@ -146,6 +148,10 @@
 func (a *Admitter) Submit(now time.Time, req *Request) {
 	e := a.getOrCreateEngine(req.Engine)
 	a.update(now, e)
+	if a.isEvacuated(e) {
+		a.refuse(now, e, Decision{Request: req, Reason: ReasonEvacuated})
+		return
+	}
 	if e.isSuspended(now) && !req.Standby {
 		a.refuse(now, e, Decision{Request: req, Reason: ReasonSuspended, RetryAfter: e.health.suspendedUntil.Sub(now)})
 		return
@@ -290,6 +296,9 @@
 	if len(e.queue) == 0 {
 		return
 	}
+	if a.refuseEvacuated(now, e) {
+		return
+	}
 	e.updateDeadlineLimit(now)
 	a.sortQueue(now, e)
 	for len(e.queue) > 0 && e.canStart(now, e.queue[0]) {
--- a/internal/admitter/request.go
+++ b/internal/admitter/request.go
@@ -91,6 +91,8 @@
 	ReasonServerLimit Reason = "server-limit"
 	// ReasonOwnerUnreachable: no router that may own a server with a limit can be reached.
 	ReasonOwnerUnreachable Reason = "owner-unreachable"
+	// ReasonEvacuated: the zone of the server is evacuated. The request may run on another server.
+	ReasonEvacuated Reason = "server-evacuated"
 	// ReasonNoRoom: the server has no idle capacity for overflow requests.
 	ReasonNoRoom Reason = "no-room"
 )
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -86,6 +86,8 @@
 	ServersAsked int
 	// RetryAfter is the delay after which the caller should retry.
 	RetryAfter time.Duration
+	// evacuated are the servers that were refused since their zones are evacuated.
+	evacuated []string
 }
 
 // Reasons for refusals in addition to those of package admitter.
@@ -106,7 +108,9 @@
 	Servers func(service string) []*cataloger.Server
 	// Limit returns the limit that a server names, empty without one. It may be nil.
 	Limit func(server string) []pacer.News
-	Log   func(event string, keyvals ...any)
+	// OnEvacuated, if set, is called when an owner refused a request since the zone of the server is evacuated.
+	OnEvacuated func(server string)
+	Log         func(event string, keyvals ...any)
 
 	// mu protects Admitter, waiters, removedRouters, startedAt and fastTicking.
 	mu       sync.Mutex
@@ -213,10 +217,9 @@
 	return a
 }
 
-// Acquire obtains a slot, waiting for it if the request's time targets allow. It tries the
-// best server for the prompt first. If that is refused, it tries one other server, which the
+// tryServers tries the best server for a prompt. If that is refused, it tries one other server, which the
 // owner suggests in its refusal.
-func (a *Allocator) Acquire(ctx context.Context, req *SlotRequest) (*Slot, *Refusal) {
+func (a *Allocator) tryServers(ctx context.Context, req *SlotRequest) (*Slot, *Refusal) {
 	servers := a.Servers(req.Service.Name)
 	ranked := steerer.RankServers(req.SharedPrefix, servers, a.Loads(), req.ExcludedServers)
 	if len(ranked) == 0 {
@@ -235,6 +238,10 @@
 	if slot != nil || second.Reason == ReasonCanceled {
 		return slot, second
 	}
+	if first.Reason == admitter.ReasonEvacuated {
+		second.ServersAsked, second.evacuated = 2, append(first.evacuated, second.evacuated...)
+		return nil, second
+	}
 	first.ServersAsked++
 	if first.Reply.Home {
 		// The caller may return as soon as either server has room.
@@ -286,9 +293,16 @@
 	case reply.Granted:
 		return &args.Ask, owner, nil
 	}
-	return nil, owner, &Refusal{
+	refusal := &Refusal{
 		Reason: reply.Reason, Server: server.ID, Owner: owner.Name, Reply: reply, RetryAfter: reply.RetryAfter,
 	}
+	if reply.Reason == admitter.ReasonEvacuated {
+		refusal.evacuated = []string{server.ID}
+		if a.OnEvacuated != nil {
+			a.OnEvacuated(server.ID)
+		}
+	}
+	return nil, owner, refusal
 }
 
 // askOwners asks the owner of the requested server. If the owner cannot be reached, it asks
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -71,7 +71,7 @@
 }
 
 // Alternative returns another server for a prompt that a server refused for a reason, or nil: a new home if
-// that server is suspended or at the limit that it names, or else a server with idle capacity. A new home
+// that server is suspended, evacuated or at the limit that it names, or else a server with idle capacity. A new home
 // has no limit itself if there is such a server.
 func Alternative(
 	prefix SharedPrefix, servers []*cataloger.Server, loads map[string]Load, exclude []string,
@@ -83,7 +83,7 @@
 		if len(unlimited) > 0 {
 			servers = unlimited
 		}
-	case admitter.ReasonSuspended:
+	case admitter.ReasonSuspended, admitter.ReasonEvacuated:
 	default:
 		return OverflowServer(prefix, servers, loads, exclude), false
 	}
--- a/internal/steerer/steerer_test.go
+++ b/internal/steerer/steerer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -45,6 +46,27 @@
 	c.Assert(RankServers(SharedPrefix{Home: "x"}, s, nil, []string{"s0", "s1", "s2", "s3"}), qt.HasLen, 0)
 }
 
+// Guards against an evacuated zone whose prompts all go to few of the remaining servers, or that moves prompts of others. Each of 20
+// remaining servers should get 60 of the 1200 prompts that move; the bounds are some five standard deviations away.
+func TestEvacuatedPromptsSpreadOverOtherServers(t *testing.T) {
+	c := qt.New(t)
+	all := servers(30)
+	moved, prompts := map[string]int{}, 0
+	for i := 0; prompts < 1200; i++ {
+		p := SharedPrefix{Home: fmt.Sprintf("part-%d", i)}
+		before, after := RankServers(p, all, nil, nil)[0].ID, RankServers(p, all[10:], nil, nil)[0].ID
+		if slices.ContainsFunc(all[10:], func(s *cataloger.Server) bool { return s.ID == before }) {
+			c.Assert(after, qt.Equals, before)
+			continue
+		}
+		moved[after]++
+		prompts++
+	}
+	for _, s := range all[10:] {
+		c.Check(moved[s.ID] > 20 && moved[s.ID] < 100, qt.IsTrue, qt.Commentf("%s gets %d", s.ID, moved[s.ID]))
+	}
+}
+
 // TestServerRemovalMovesOnlyItsPrompts checks that prompts keep their home server, which has
 // their prefix cached, when another server is removed.
 func TestServerRemovalMovesOnlyItsPrompts(t *testing.T) {
