conductor: a leaf reads the store within two seconds while its fleet starts

Cause: in a simulation of 295 routers of which only the last one reached the store, it did not read for 10.7 s: its hub had counted one router so far, and the longest age grew with its rank divided by that number (46 s at rank 310). Change: the rank is limited to the size.

--- a/internal/conductor/gossip.go
+++ b/internal/conductor/gossip.go
@@ -190,7 +190,9 @@
 // reads the store. It is scaled down if the maximum configuration age, which follows from the
 // key revocation time, is below referenceMaxAge.
 func storeReadAge(rank, size int, period, maxAge time.Duration) time.Duration {
-	limit := maxStoreReadAge + storeReadAgeSpread*time.Duration(rank)/time.Duration(max(1, size))
+	// Ranks count hubs twice, and a leaf may have been told the size of a fleet that is just starting.
+	size = max(1, size)
+	limit := maxStoreReadAge + storeReadAgeSpread*time.Duration(min(rank, size))/time.Duration(size)
 	age := min(firstStoreReadAge+time.Duration(rank)*max(storeReadAgeStep, period/2), limit)
 	return time.Duration(float64(age) * waitScale(maxAge))
 }
--- a/internal/conductor/gossip_test.go
+++ b/internal/conductor/gossip_test.go
@@ -44,3 +44,12 @@
 		}
 	}
 }
+
+// Guards against a leaf that does not read the store for up to 46 s while its hub counts a fleet that is just starting: the
+// ranks of leaves are above the number of routers then, and hubs count twice.
+func TestStoreIsReadWhileFleetStarts(t *testing.T) {
+	for _, size := range []int{0, 1, 100, 295} {
+		age := storeReadAge(310, size, minGossipPeriod, referenceMaxAge)
+		qt.Check(t, age <= 2*time.Second, qt.IsTrue, qt.Commentf("rank 310 of %d reads the store at age %v", size, age))
+	}
+}
