conductor, messenger: evacuated zones take effect and travel between routers

Cause: routers that are cut off from the store, restart, or had assigned a server a moment before go on sending to an evacuated zone; two tests failed. Change: gossip carries the zones with their position, and a confirmation is taken over together with them only. A change is told to neighbors at once. Requests are not assigned to or written to servers there, also before the zones are known and just after a suspension; 503 at once if no other server is left.

--- a/internal/conductor/assignment.go
+++ b/internal/conductor/assignment.go
@@ -28,15 +28,18 @@
 
 // assignServer assigns a server to a call: a slot on a model server, which the server's owner
 // grants, or a server of a plain service, which this router picks by itself. If the server
-// started to drain or asked for a pause while the call waited, it is excluded and another one is assigned.
+// started to drain, asked for a pause or was evacuated while the call waited, it is excluded and another one is assigned.
 func (n *node) assignServer(ctx context.Context, c *relayer.Call) (*relayer.Assignment, *relayer.Refusal) {
 	for {
 		assignment, r := n.tryAssignServer(ctx, c)
-		if r != nil || n.watcher.Usable(assignment.Server) && !n.isExcluded(assignment.Server) {
-			return assignment, r
+		if r != nil {
+			return nil, r
+		}
+		if n.watcher.Usable(assignment.Server) && !n.isExcluded(assignment.Server) {
+			return n.countRunning(assignment), nil
 		}
 		assignment.Release(relayer.AttemptResult{Inconclusive: true})
-		n.log("place-given-back", "request", c.ID, "server", assignment.Server.ID, "why", "it leaves")
+		n.log("place-given-back", "request", c.ID, "server", assignment.Server.ID, "why", n.givenBackReason(assignment.Server))
 		c.ExcludedServers = append(c.ExcludedServers, assignment.Server.ID)
 	}
 }
@@ -46,6 +49,9 @@
 	if r := n.pausedRefusal(set, c); r != nil {
 		return nil, r
 	}
+	if r := n.evacuatedRefusal(set, c); r != nil {
+		return nil, r
+	}
 	if c.Service.Engine != nil {
 		return n.acquireSlot(ctx, c)
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -116,6 +116,9 @@
 	eraLearned    chan struct{}
 	// excluder holds the servers that told this router to send them nothing.
 	excluder excluder.Excluder
+	// evacuations holds the evacuated zones, and runningByZone counts the requests in all zones.
+	evacuations   evacuations
+	runningByZone zoneCounter
 	// limits holds the rates that servers name in their answers.
 	limits     pacer.Limits
 	metrics    *metricSet
@@ -193,6 +196,8 @@
 		},
 	}
 	n.logger = log.With(log.NewLogfmtLogger(rec), "router", s.Name)
+	n.evacuations.now, n.evacuations.log = timer.SinceBoot, n.log
+	n.evacuations.onChange, n.evacuations.tell = n.handleEvacuationChanges, n.tellNeighbors
 	n.limiter = newConcurrencyLimiter(s.Limits, func() int64 { return n.relayer.Active() })
 	n.membership = messenger.NewMembership(n.self, minFailureTimeout, timer.SinceBoot)
 	n.gcTuner = newGCTuner()
@@ -217,6 +222,8 @@
 		DecodeCatalog: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
 		ConfigKey: platform.ConfigKey, Now: timer.SinceBoot, ReadStoreAfter: n.storeReadAge, WaitForPeersUntil: n.waitForPeersUntil, MaxBackoff: n.maxStoreBackoff, Log: n.log,
 		ReadSettledEra: s.GetSettledEra, OnSettled: n.handleSettledEra, OnEra: n.handleEra,
+		EvacuatedZone: platform.EvacuatedZone, OnEvacuations: n.evacuations.applyStore, EvacuationsAge: n.evacuations.age,
+		Evacuated: n.evacuations.Evacuated,
 	})
 }
 
@@ -229,8 +236,9 @@
 		Self: n.self, Membership: n.membership, Messenger: m, Log: n.log,
 		Admitter: admitter.Admitter{
 			UsageTimeConstant: time.Duration(float64(n.settings.Bounds.QuotaWindow()) * usageDecayFraction), Limit: n.ownedLimit,
+			Evacuated: n.isServerEvacuated,
 		},
-		Limit: n.limitNews,
+		Limit: n.limitNews, OnEvacuated: n.countMoved,
 		Servers: func(service string) []*cataloger.Server {
 			if set := w.ServerSet(); set != nil {
 				servers, _ := n.withoutExcluded(set.ByService[service])
@@ -286,6 +294,7 @@
 	n.store, n.watcher, n.messenger, n.allocator = st, w, m, a
 	n.budgeter, n.sender, n.relayer = b, s, r
 	n.quarantiner, n.crashDetector = q, d
+	n.evacuations.watcher = w
 	w.OnServers = n.handleServerChange
 	m.OnUpdatesLost = func(address string, outcomes int, err error) {
 		n.log("settle-lost", "peer", address, "outcomes", outcomes, "err", err)
--- a/internal/conductor/exclusion.go
+++ b/internal/conductor/exclusion.go
@@ -43,7 +43,15 @@
 
 // maySend reports whether a server may get a request now.
 func (n *node) maySend(s *cataloger.Server) bool {
-	cause, back := n.excluder.Send(timer.SinceBoot(), excludedServer(s))
+	now := timer.SinceBoot()
+	if !n.outsideEvacuatedZones(s) {
+		n.countMoved(s.ID)
+		return false
+	}
+	if n.evacuations.Resuming(now) {
+		return false
+	}
+	cause, back := n.excluder.Send(now, excludedServer(s))
 	if back {
 		n.metrics.increment("servers-back")
 		n.log("server-back", "server", s.ID, "address", s.Address)
--- a/internal/conductor/gossip.go
+++ b/internal/conductor/gossip.go
@@ -89,6 +89,7 @@
 		return
 	}
 	n.applyGossip(reply)
+	n.evacuations.confirm(&reply.Evacuations, sentAt)
 	if !reply.KnowsEras {
 		// A router of an earlier release may have read on in a restored store.
 		return
@@ -183,7 +184,11 @@
 
 // storeReadAge returns the age of the last confirmation at which this router reads the store.
 func (n *node) storeReadAge() time.Duration {
-	return storeReadAge(n.membership.StoreReadRank(), n.membership.FleetSize(), n.gossipPeriod(), n.relayer.MaxConfigAge)
+	maxAge := n.relayer.MaxConfigAge
+	if evacuate := n.settings.Bounds.MaxEvacuationDelay(); evacuate > 0 {
+		maxAge = min(maxAge, time.Duration(float64(evacuate)*configAgeFraction))
+	}
+	return storeReadAge(n.membership.StoreReadRank(), n.membership.FleetSize(), n.gossipPeriod(), maxAge)
 }
 
 // storeReadAge returns the age of the last confirmation at which a router of the given rank
@@ -222,6 +227,7 @@
 	if out.Version = n.watcher.ConfigVersion(); ok {
 		out.ProvenAgo = age
 	}
+	out.Evacuations = n.evacuations.forPeer()
 	return out
 }
 
@@ -239,6 +245,7 @@
 		n.messenger.Disconnect(p.Address)
 		n.allocator.RemoveRouter(p.Name)
 	}
+	n.evacuations.applyPeer(in.From.Name, &in.Evacuations)
 	n.quarantiner.ApplyGossip(timer.SinceBoot(), in.From.Name, in.CrashDigest, in.CrashEvidence)
 	n.applyLimitNews(in.From.Name, in.Limits.News)
 	n.allocator.ApplyGossip(in.From.Name, in.Loads, in.Grants)
--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -93,6 +93,7 @@
 	go n.watcher.Run(ctx)
 	go n.allocator.Run(ctx)
 	go n.runGossip(ctx)
+	go n.watchEvacuations(ctx)
 	go n.keepVerdicts(ctx)
 	go n.keepSettledEra(ctx)
 	go n.register(ctx)
@@ -138,6 +139,8 @@
 		return "no configuration yet"
 	case n.watcher.ServerSet() == nil:
 		return "servers not read yet"
+	case !n.evacuations.known():
+		return "evacuated zones not read yet"
 	case !confirmed || age > n.relayer.MaxConfigAge:
 		return "configuration cannot be proven current"
 	case n.readiness.isWithdrawn():
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -99,6 +99,8 @@
 	QuarantinedParts []string `json:"quarantined-parts,omitempty"`
 	// ServerLimits are the rates, in requests a second, that servers name in their answers, by ID.
 	ServerLimits map[string]float64 `json:"server-limits,omitempty"`
+	// EvacuatedZones describes the evacuated zones by name.
+	EvacuatedZones map[string]string `json:"evacuated-zones,omitempty"`
 	// Listed describes all known backend servers by ID.
 	Listed map[string]string `json:"listed-servers"`
 }
@@ -108,6 +110,8 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.write(w)
+		zones, running := n.evacuationGauges()
+		fmt.Fprintf(w, "evacuated-zones %d\nevacuation-running %d\n", zones, running)
 		fmt.Fprintf(w, "active-requests %d\nbody-bytes %d\nrouters-reachable %d\nlag-ms %d\n",
 			n.relayer.Active(), n.relayer.BodyBudget.UsedBytes(), len(n.membership.Reachable()), time.Duration(n.limiter.lag.Load()).Milliseconds())
 	})
@@ -127,7 +131,7 @@
 		Self: n.self, Beliefs: n.watcher.Describe(), Unready: n.unreadyReason(), Reachable: n.membership.Reachable(),
 		Active: n.relayer.Active(), BodyBytes: n.relayer.BodyBudget.UsedBytes(), Servers: n.allocator.Dump(),
 		Listed: map[string]string{}, QuarantinedParts: n.describeVerdicts(),
-		ServerLimits: n.limits.Rates(),
+		ServerLimits: n.limits.Rates(), EvacuatedZones: n.describeEvacuations(),
 	}
 	if set := n.watcher.ServerSet(); set != nil {
 		for id, v := range set.ByID {
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -58,6 +58,8 @@
 	// the Till of the last ones that the sender has received.
 	Limits     pacer.Update
 	LimitsSeen uint64
+	// Evacuations are the evacuated zones that the sender knows.
+	Evacuations Evacuations
 	// Known is a sample of the reachable routers that the sender knows, and in a large
 	// fleet those that restarted recently.
 	Known []Peer
@@ -79,6 +81,23 @@
 	return watcher.Position{Era: g.StoreEra, Version: g.ServersChanged}
 }
 
+// Evacuations are the evacuated zones that the store held at a position.
+type Evacuations struct {
+	// Known is false if the sender has not read them yet, and in messages of releases that know none. The message then
+	// says nothing about evacuations.
+	Known   bool
+	Era     uint64
+	Version uint64
+	Zones   []string
+	// Ago is how long ago the request was sent whose answer confirmed that they are the newest, negative if there was none.
+	Ago time.Duration
+}
+
+// Position returns the position at which the store held the zones.
+func (e *Evacuations) Position() watcher.Position {
+	return watcher.Position{Era: e.Era, Version: e.Version}
+}
+
 // Grants are the tokens that a router granted to workspaces and the receiver has not
 // yet acknowledged.
 type Grants struct {
