--- a/internal/soaker/exclusion_test.go
+++ b/internal/soaker/exclusion_test.go
@@ -37,6 +37,7 @@
 		s.violations = append(s.violations, fmt.Sprintf("request %s through %s: ", id, key)+fmt.Sprintf(format, args...))
 	}
 	s.checkLimit(server.ID, req, now, report)
+	s.checkEvacuation(server.ID, now, report)
 	if at, ok := s.toldLeaving[key]; ok && s.leavingServers[server.ID] && req.sentAt.After(at.Add(maxDrainDelay)) && s.undisturbedSince(at) {
 		report("the server has said for %v that it is shutting down", now.Sub(at))
 	}
--- a/internal/soaker/faults_test.go
+++ b/internal/soaker/faults_test.go
@@ -25,7 +25,7 @@
 func (s *soak) injectFaults(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		faultDuration := time.Duration(200+s.rng.IntN(3000)) * time.Millisecond
-		f := faults[s.rng.IntN(len(faults))]
+		f := s.faults[s.rng.IntN(len(s.faults))]
 		s.events.Printf("event=fault kind=%v duration=%v", f, faultDuration)
 		f(s, faultDuration)
 		time.Sleep(time.Duration(s.rng.IntN(1200)) * time.Millisecond)
@@ -205,6 +205,7 @@
 // clearFaults ends all faults. Blackholed connections stay blackholed.
 func (s *soak) clearFaults() {
 	s.clearLimits()
+	s.endEvacuations()
 	for _, p := range s.processes {
 		p.signal(syscall.SIGCONT)
 	}
--- a/internal/soaker/harness_test.go
+++ b/internal/soaker/harness_test.go
@@ -36,7 +36,9 @@
 // soak is the state of one run of the soak test.
 type soak struct {
 	deployment
-	seed      uint64
+	seed uint64
+	// faults are the faults that are drawn.
+	faults    []fault
 	rng       *rand.Rand
 	cluster   *standin.Cluster
 	servers   []*standin.Server
@@ -82,7 +84,9 @@
 	toldPauses     map[string]*toldPause
 	// limits are the limits that servers name. heldBackUntil is until when requests of a router or to a
 	// server may arrive late.
-	limits        map[string]*namedLimit
+	limits map[string]*namedLimit
+	// evacuatedAt is when the evacuation of a zone was stored.
+	evacuatedAt   map[string]time.Time
 	heldBackUntil map[string]time.Time
 	servedCounts  map[string]int
 	requestCounts map[string]int
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -101,6 +101,13 @@
 
 // runSeeds runs the soak with each of the seeds.
 func runSeeds(t *testing.T, seeds []uint64, plannedDuration, faultDuration time.Duration) {
+	runDeployments(t, seeds, plannedDuration, faultDuration, faults, func(*deployment) {})
+}
+
+// runDeployments runs the soak with each of the seeds, on adjusted deployments and with the faults drawn from the given ones.
+func runDeployments(
+	t *testing.T, seeds []uint64, plannedDuration, faultDuration time.Duration, drawn []fault, adjust func(*deployment),
+) {
 	dir := *logDirFlag
 	if dir == "" {
 		dir = t.TempDir()
@@ -118,6 +125,7 @@
 				t.Fatal(err)
 			}
 			d := defaultDeployment(*routersFlag)
+			adjust(&d)
 			if *randomDeploymentFlag {
 				d = randomDeployment(rand.New(rand.NewPCG(seed, 7)), *routersFlag)
 				t.Log(d.String())
@@ -127,6 +135,7 @@
 				t.Fatal(err)
 			}
 			defer s.close()
+			s.faults = drawn
 			s.run(plannedDuration, faultDuration)
 			s.checkLogs(logDir)
 			t.Log(s.summary())
