allocator: a router takes back what waits for an evacuated zone at an owner that does not know

Cause: an owner of the release before, or one that learns of an evacuation late, keeps requests waiting for a server whose zone is evacuated, and they are not sent once they are granted. Change: the router that asked cancels them when it learns of the evacuation, and tries other servers. Result: TestWaitingRequestsLeaveEvacuatedZone with an owner that does not know passes, and ends in a deadlock without the change; go test -race -count=1 ./internal/allocator passes, of ./internal/conductor the tests named Evacuat, Streams, Drain, RequestsReach, Paus and Limit.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -108,7 +109,7 @@
 	Servers func(service string) []*cataloger.Server
 	// Limit returns the limit that a server names, empty without one. It may be nil.
 	Limit func(server string) []pacer.News
-	// OnEvacuated, if set, is called when an owner refused a request since the zone of the server is evacuated.
+	// OnEvacuated, if set, is called when a request left a server since its zone is evacuated.
 	OnEvacuated func(server string)
 	Log         func(event string, keyvals ...any)
 
@@ -126,6 +127,10 @@
 	fastTicking bool
 	wake        chan struct{}
 
+	// asks are the requests of this router that owners have not decided, by ID. asksMu protects them.
+	asksMu sync.Mutex
+	asks   map[uint64]pendingAsk
+
 	// slots are the granted slots that were not released, by request ID. slotsMu protects them.
 	slotsMu sync.Mutex
 	slots   map[uint64]*Slot
@@ -286,23 +291,20 @@
 		},
 		Service: req.Service.Name, Prompt: req.SharedPrefix, Tried: req.ExcludedServers, Limits: a.limitOf(server.ID),
 	}
-	reply, owner, err := a.askOwners(ctx, args, server.AvailabilityZone)
+	askCtx, done := a.withEvacuation(ctx, &args.Ask)
+	defer done()
+	reply, owner, err := a.askOwners(askCtx, args, server.AvailabilityZone)
 	switch {
+	case err != nil && ctx.Err() == nil && errors.Is(context.Cause(askCtx), errEvacuated), reply.Reason == admitter.ReasonEvacuated:
+		return nil, owner, a.evacuatedRefusal(server.ID, owner, reply)
 	case err != nil:
 		return nil, owner, &Refusal{Reason: ReasonCanceled, Server: server.ID, Owner: owner.Name}
 	case reply.Granted:
 		return &args.Ask, owner, nil
 	}
-	refusal := &Refusal{
+	return nil, owner, &Refusal{
 		Reason: reply.Reason, Server: server.ID, Owner: owner.Name, Reply: reply, RetryAfter: reply.RetryAfter,
 	}
-	if reply.Reason == admitter.ReasonEvacuated {
-		refusal.evacuated = []string{server.ID}
-		if a.OnEvacuated != nil {
-			a.OnEvacuated(server.ID)
-		}
-	}
-	return nil, owner, refusal
 }
 
 // askOwners asks the owner of the requested server. If the owner cannot be reached, it asks
--- a/internal/conductor/evacuation.go
+++ b/internal/conductor/evacuation.go
@@ -175,7 +175,7 @@
 func (n *node) handleEvacuationChanges(changes []evacuator.Change, logFields ...any) {
 	n.watcher.RefreshServers()
 	// Requests that wait for servers of these zones are refused, so that they go elsewhere.
-	n.allocator.Reschedule()
+	n.allocator.HandleEvacuations()
 	for _, c := range changes {
 		if c.Began {
 			n.metrics.increment("evacuations-begun")
