Names of the wire stay in platform/; lines about ignored zones are bounded

Cause: tests named the key of the row outside platform/; a table with more than 256 evacuated zones would log at each read. Change: standin writes the row with a readable or an unreadable value; the line is written when the zones change.

--- a/internal/conductor/evacuation.go
+++ b/internal/conductor/evacuation.go
@@ -149,7 +149,7 @@
 // apply puts a set in force if it is later than the present one. peer is its sender, empty if this router has read it.
 func (e *evacuations) apply(s evacuator.Set, peer string, age time.Duration) {
 	result := e.Apply(e.now(), s, peer == "")
-	if result.Ignored > 0 {
+	if result.Ignored > 0 && (result.First || len(result.Changes) > 0) {
 		e.log("evacuations-ignored", "zones", result.Ignored, "limit", evacuator.MaxZones, "position", s.Position)
 	}
 	source := sourceStore
--- a/internal/conductor/evacuation_fleet_test.go
+++ b/internal/conductor/evacuation_fleet_test.go
@@ -28,6 +28,9 @@
 // simLatency is how long a message or a call to the store takes each way in simulated fleets.
 const simLatency = 5 * time.Millisecond
 
+// simZonePrefix precedes the name of an evacuated zone in the keys of the simulated table.
+const simZonePrefix = "zone:"
+
 var errRefused, errHistoryGone = errors.New("refused"), errors.New("gone")
 
 // simContent is what a store holds of the table of the configuration.
@@ -96,7 +99,7 @@
 	defer s.mu.Unlock()
 	out := []string{}
 	for key := range s.rows {
-		if zone, ok := strings.CutPrefix(key, "evacuate/"); ok {
+		if zone, ok := strings.CutPrefix(key, simZonePrefix); ok {
 			out = append(out, zone)
 		}
 	}
@@ -190,7 +193,7 @@
 		},
 	})
 	if !previousRelease {
-		w.EvacuatedZone = func(key string) (string, bool) { return strings.CutPrefix(key, "evacuate/") }
+		w.EvacuatedZone = func(key string) (string, bool) { return strings.CutPrefix(key, simZonePrefix) }
 		w.OnEvacuations, w.EvacuationsAge, w.Evacuated = r.applyStore, r.age, r.Evacuated
 	}
 	r.evacuations.now, r.watcher, r.log = f.now, w, func(string, ...any) {}
@@ -336,7 +339,7 @@
 				for i := range 12 {
 					time.Sleep(time.Second + time.Duration(i)*37*time.Millisecond)
 					zone := fmt.Sprint("evacuated-", i)
-					f.store.write("evacuate/"+zone, false)
+					f.store.write(simZonePrefix+zone, false)
 					written := f.now()
 					missing := slices.Collect(maps.Values(f.routers))
 					for len(missing) > 0 && f.now() < written+evacuationTakesEffect {
--- a/internal/conductor/evacuation_property_test.go
+++ b/internal/conductor/evacuation_property_test.go
@@ -88,12 +88,12 @@
 	case 0, 1:
 		e.advance(time.Duration([]int{20, 100, 700, 3000, 6000}[x%5]) * time.Millisecond)
 	case 2:
-		e.store.write("evacuate/"+zone, false)
+		e.store.write(simZonePrefix+zone, false)
 		if e.writtenAt[zone] == 0 {
 			e.writtenAt[zone] = e.now()
 		}
 	case 3:
-		e.store.write("evacuate/"+zone, true)
+		e.store.write(simZonePrefix+zone, true)
 		delete(e.writtenAt, zone)
 		maps.DeleteFunc(e.knownAt, func(key [2]string, _ time.Duration) bool { return key[1] == zone })
 	case 4:
--- a/internal/conductor/evacuation_test.go
+++ b/internal/conductor/evacuation_test.go
@@ -71,7 +71,7 @@
 	c.Assert(f.callAll(), qt.DeepEquals, map[int]int{http.StatusOK: 18})
 	c.Assert(f.arrivals("there") > 0, qt.IsTrue)
 
-	f.cluster.Store.Put("op", "evacuate/there", []byte("{"))
+	f.cluster.EvacuateZone("there", standin.InvalidEvacuationValue)
 	for name, r := range f.routers {
 		eventually(c, name+" knows the evacuation", func() bool {
 			for _, servers := range r.node.watcher.ServerSet().ByService {
@@ -89,7 +89,7 @@
 	c.Assert(f.callAll(), qt.DeepEquals, map[int]int{http.StatusOK: 27})
 	c.Assert(f.arrivals("there"), qt.Equals, before)
 
-	f.cluster.EvacuateZone("here", true)
+	f.cluster.EvacuateZone("here", standin.EvacuationValue)
 	for name := range f.routers {
 		eventually(c, name+" refuses all", func() bool {
 			return f.call(name, standin.PlainPrefix+"x", standin.APIKey, "").Status == http.StatusServiceUnavailable
@@ -99,8 +99,8 @@
 	c.Assert(f.callAll(), qt.DeepEquals, map[int]int{http.StatusServiceUnavailable: 27})
 	c.Check(time.Since(start) < evacuationTakesEffect, qt.IsTrue)
 
-	f.cluster.EvacuateZone("there", false)
-	f.cluster.EvacuateZone("here", false)
+	f.cluster.EndEvacuation("there")
+	f.cluster.EndEvacuation("here")
 	for name, r := range f.routers {
 		eventually(c, name+" uses all servers", func() bool {
 			set := r.node.watcher.ServerSet().ByService
@@ -121,7 +121,7 @@
 	got := make(chan standin.Response, 1)
 	go func() { got <- f.call("a", standin.ModelPrefix+"y", standin.APIKey, "100,200") }()
 	eventually(c, "the stream is active", func() bool { return f.routers["a"].node.relayer.Active() > 0 })
-	f.cluster.EvacuateZone("here", true)
+	f.cluster.EvacuateZone("here", standin.EvacuationValue)
 	r := <-got
 	c.Assert(r.Status, qt.Equals, http.StatusOK)
 	c.Assert(strings.Count(r.Body, "data: "), qt.Equals, 20)
--- a/internal/messenger/malformed_test.go
+++ b/internal/messenger/malformed_test.go
@@ -40,7 +40,7 @@
 	valid := encodeCalls(
 		"News", Gossip{
 			From: Peer{Name: "p"}, Loads: []admitter.Load{{Server: "s"}},
-			Grants: Grants{Tokens: map[string]uint{"w": 1}},
+			Grants: Grants{Tokens: map[string]uint{"w": 1}}, Evacuations: Evacuations{Known: true, Zones: []string{"z"}},
 		},
 		"Ask", AdmitArgs{Ask: admitter.Request{Router: "p", Parts: []admitter.PromptPart{{ID: 1, Tokens: 2}}}},
 		"Settle", RequestUpdates{From: "p", Canceled: []CanceledRequest{{Server: "s"}}},
--- a/internal/soaker/evacuation_test.go
+++ b/internal/soaker/evacuation_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"papayapaddle/platform/standin"
 )
 
 const (
@@ -36,7 +38,7 @@
 	if evacuated {
 		return
 	}
-	s.cluster.EvacuateZone(zone, true)
+	s.cluster.EvacuateZone(zone, standin.EvacuationValue)
 	now := time.Now()
 	s.mu.Lock()
 	if s.evacuatedAt == nil {
@@ -57,7 +59,7 @@
 	}
 	s.mu.Unlock()
 	if current {
-		s.cluster.EvacuateZone(zone, false)
+		s.cluster.EndEvacuation(zone)
 	}
 }
 
