--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -87,6 +88,8 @@
 	ServersAsked int
 	// RetryAfter is the delay after which the caller should retry.
 	RetryAfter time.Duration
+	// evacuated are the servers that were refused since their zones are evacuated.
+	evacuated []string
 }
 
 // Reasons for refusals in addition to those of package admitter.
@@ -114,7 +117,9 @@
 	Avoid   func(server string) bool
 	OnMoved func()
 	Now     func() time.Duration
-	Log     func(event string, keyvals ...any)
+	// OnEvacuated, if set, is called when a request left a server since its zone is evacuated.
+	OnEvacuated func(server string)
+	Log         func(event string, keyvals ...any)
 
 	// mu protects Admitter, waiters, removedRouters, startedAt and fastTicking.
 	mu       sync.Mutex
@@ -130,6 +135,10 @@
 	fastTicking bool
 	wake        chan struct{}
 
+	// asks are the requests of this router that owners have not decided, by ID. asksMu protects them.
+	asksMu sync.Mutex
+	asks   map[uint64]pendingAsk
+
 	// slots are the granted slots that were not released, by request ID. slotsMu protects them.
 	slotsMu sync.Mutex
 	slots   map[uint64]*Slot
@@ -221,10 +230,9 @@
 	return a
 }
 
-// Acquire obtains a slot, waiting for it if the request's time targets allow. It tries the
-// best server for the prompt first. If that is refused, it tries one other server, which the
+// tryServers tries the best server for a prompt. If that is refused, it tries one other server, which the
 // owner suggests in its refusal.
-func (a *Allocator) Acquire(ctx context.Context, req *SlotRequest) (*Slot, *Refusal) {
+func (a *Allocator) tryServers(ctx context.Context, req *SlotRequest) (*Slot, *Refusal) {
 	servers := a.Servers(req.Service.Name)
 	ranked := steerer.RankServers(req.SharedPrefix, a.candidates(req, servers), a.Loads(), req.ExcludedServers)
 	if len(ranked) == 0 {
@@ -246,6 +254,10 @@
 	if slot != nil || second.Reason == ReasonCanceled {
 		return slot, second
 	}
+	if first.Reason == admitter.ReasonEvacuated {
+		second.ServersAsked, second.evacuated = 2, append(first.evacuated, second.evacuated...)
+		return nil, second
+	}
 	first.ServersAsked++
 	if first.Reply.Home {
 		// The caller may return as soon as either server has room.
@@ -291,8 +303,12 @@
 		Service: req.Service.Name, Prompt: req.SharedPrefix, Tried: req.ExcludedServers,
 		Limits: a.limitOf(server.ID), Cold: a.coldNews(server.ID),
 	}
-	reply, err := a.askOwners(ctx, args, server.AvailabilityZone)
+	askCtx, done := a.withEvacuation(ctx, &args.Ask)
+	defer done()
+	reply, err := a.askOwners(askCtx, args, server.AvailabilityZone)
 	switch {
+	case err != nil && ctx.Err() == nil && errors.Is(context.Cause(askCtx), errEvacuated), reply.Reason == admitter.ReasonEvacuated:
+		return nil, reply, a.evacuatedRefusal(server.ID, reply.owner, reply.AdmitReply)
 	case err != nil:
 		return nil, reply, &Refusal{Reason: ReasonCanceled, Server: server.ID, Owner: reply.owner.Name}
 	case reply.Granted:
--- a/internal/conductor/assignment.go
+++ b/internal/conductor/assignment.go
@@ -28,7 +28,8 @@
 
 // assignServer assigns a server to a call: a slot on a model server, which the server's owner
 // grants, or a server of a plain service, which this router picks by itself. If the server
-// started to drain, asked for a pause or became cold while the call waited, it is excluded and another one is assigned.
+// started to drain, asked for a pause, became cold or was evacuated while the call waited, it is excluded and another one is
+// assigned.
 func (n *node) assignServer(ctx context.Context, c *relayer.Call) (*relayer.Assignment, *relayer.Refusal) {
 	n.cold.hadTraffic.Store(true)
 	for {
@@ -39,11 +40,11 @@
 		reason := ""
 		switch {
 		case !n.watcher.Usable(assignment.Server) || n.isExcluded(assignment.Server):
-			reason = "it leaves"
+			reason = n.givenBackReason(assignment.Server)
 		case assignment.MaySend != nil && !assignment.MaySend():
 			reason = "it is cold"
 		default:
-			return assignment, nil
+			return n.countRunning(assignment), nil
 		}
 		assignment.Release(relayer.AttemptResult{Inconclusive: true})
 		n.log("place-given-back", "request", c.ID, "server", assignment.Server.ID, "why", reason)
@@ -56,6 +57,9 @@
 	if r := n.pausedRefusal(set, c); r != nil {
 		return nil, r
 	}
+	if r := n.evacuatedRefusal(set, c); r != nil {
+		return nil, r
+	}
 	if c.Service.Engine != nil {
 		return n.acquireSlot(ctx, c)
 	}
--- a/internal/conductor/cold.go
+++ b/internal/conductor/cold.go
@@ -206,6 +206,19 @@
 	}
 }
 
+// beginColdInZone makes the servers of a zone cold whose evacuation has ended. Their entries may say so only later.
+func (n *node) beginColdInZone(zone string) {
+	set := n.watcher.ServerSet()
+	if set == nil {
+		return
+	}
+	for _, s := range set.ByID {
+		if s.AvailabilityZone == zone {
+			n.beginCold(s, pacer.ColdEvacuation, 0)
+		}
+	}
+}
+
 // applyColdNews applies what a peer knows of cold servers.
 func (n *node) applyColdNews(peer string, news []pacer.ColdNews) {
 	n.logCold(n.cold.servers.ApplyNews(timer.SinceBoot(), news), "peer", peer)
--- a/internal/conductor/cold_test.go
+++ b/internal/conductor/cold_test.go
@@ -207,3 +207,32 @@
 	assignment := n.withGrant(&relayer.Assignment{Server: s}, old)
 	c.Check(assignment.MaySend(), qt.IsFalse)
 }
+
+// Guards against a burst at the servers of a zone whose evacuation has ended: they count as cold before they get requests
+// again, though their entries do not say so yet.
+func TestServersAreColdAfterEvacuation(t *testing.T) {
+	c := qt.New(t)
+	f := newColdFleet(c, "a")
+	f.useZones("here", "there")
+	n := f.routers["a"].node
+	inZone := func(zone string) (cold, listed int) {
+		for _, s := range n.watcher.ServerSet().ByID {
+			if s.AvailabilityZone == zone {
+				listed++
+				if n.isCold(s.ID) {
+					cold++
+				}
+			}
+		}
+		return cold, listed
+	}
+	eventually(c, "the zones are known", func() bool { _, listed := inZone("there"); return listed > 0 })
+	f.cluster.EvacuateZone("there", "{}")
+	eventually(c, "the zone is evacuated", func() bool { return len(n.evacuations.Zones()) == 1 })
+	f.cluster.EndEvacuation("there")
+	eventually(c, "the evacuation has ended", func() bool { return len(n.evacuations.Zones()) == 0 })
+	cold, listed := inZone("there")
+	c.Assert(cold, qt.Equals, listed)
+	cold, _ = inZone("here")
+	c.Assert(cold, qt.Equals, 0)
+}
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -101,6 +101,8 @@
 	ServerLimits map[string]float64 `json:"server-limits,omitempty"`
 	// ColdServers holds how many milliseconds longer servers stay cold, by ID.
 	ColdServers map[string]int64 `json:"cold-servers-ms,omitempty"`
+	// EvacuatedZones describes the evacuated zones by name.
+	EvacuatedZones map[string]string `json:"evacuated-zones,omitempty"`
 	// Listed describes all known backend servers by ID.
 	Listed map[string]string `json:"listed-servers"`
 }
@@ -110,6 +112,8 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.write(w)
+		zones, running := n.evacuationGauges()
+		fmt.Fprintf(w, "evacuated-zones %d\nevacuation-running %d\n", zones, running)
 		fmt.Fprintf(w, "active-requests %d\nbody-bytes %d\nrouters-reachable %d\nlag-ms %d\nservers-cold %d\n",
 			n.relayer.Active(), n.relayer.BodyBudget.UsedBytes(), len(n.membership.Reachable()), time.Duration(n.limiter.lag.Load()).Milliseconds(),
 			len(n.coldMillis()))
@@ -130,7 +134,7 @@
 		Self: n.self, Beliefs: n.watcher.Describe(), Unready: n.unreadyReason(), Reachable: n.membership.Reachable(),
 		Active: n.relayer.Active(), BodyBytes: n.relayer.BodyBudget.UsedBytes(), Servers: n.allocator.Dump(),
 		Listed: map[string]string{}, QuarantinedParts: n.describeVerdicts(),
-		ServerLimits: n.limits.Rates(), ColdServers: n.coldMillis(),
+		ServerLimits: n.limits.Rates(), ColdServers: n.coldMillis(), EvacuatedZones: n.describeEvacuations(),
 	}
 	if set := n.watcher.ServerSet(); set != nil {
 		for id, v := range set.ByID {
--- a/internal/soaker/cold_test.go
+++ b/internal/soaker/cold_test.go
@@ -45,7 +45,7 @@
 	if *seedFlag != 0 {
 		seeds = chosenSeeds()
 	}
-	runSeeds(t, seeds, 0, time.Duration(*secondsFlag)*time.Second, func(d *deployment) { d.coldStart = soakColdStart })
+	runDeployments(t, seeds, 0, time.Duration(*secondsFlag)*time.Second, faults, func(d *deployment) { d.coldStart = soakColdStart })
 }
 
 // runColdServers writes the entries of servers again and again, as servers do, and makes servers cold.
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -100,7 +100,14 @@
 }
 
 // runSeeds runs the soak with each of the seeds.
-func runSeeds(t *testing.T, seeds []uint64, plannedDuration, faultDuration time.Duration, adjust ...func(*deployment)) {
+func runSeeds(t *testing.T, seeds []uint64, plannedDuration, faultDuration time.Duration) {
+	runDeployments(t, seeds, plannedDuration, faultDuration, faults, func(*deployment) {})
+}
+
+// runDeployments runs the soak with each of the seeds, on adjusted deployments and with the faults drawn from the given ones.
+func runDeployments(
+	t *testing.T, seeds []uint64, plannedDuration, faultDuration time.Duration, drawn []fault, adjust func(*deployment),
+) {
 	dir := *logDirFlag
 	if dir == "" {
 		dir = t.TempDir()
@@ -122,14 +129,13 @@
 				d = randomDeployment(rand.New(rand.NewPCG(seed, 7)), *routersFlag)
 				t.Log(d.String())
 			}
-			for _, f := range adjust {
-				f(&d)
-			}
+			adjust(&d)
 			s, err := newSoak(logDir, binary, seed, d)
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer s.close()
+			s.faults = drawn
 			s.run(plannedDuration, faultDuration)
 			s.checkLogs(logDir)
 			t.Log(s.summary())
