flooder: bodies of rejected requests that pause

Clients without a key that never finish their bodies hold the callers' connections, since the HTTP server reads the rest of the body of a request that was rejected without a limit of time.

--- a/internal/flooder/flood_test.go
+++ b/internal/flooder/flood_test.go
@@ -130,6 +130,17 @@
 	}}
 }
 
+// slowRejectedBodies are requests of unknown clients whose bodies pause half way. They are short enough for the router to
+// keep the connection.
+func slowRejectedBodies() flood {
+	return flood{port: callerPort, rest: nothing, held: func(i int) string {
+		req := ordinaryRequest(fmt.Sprint("unknown-", i), strings.Repeat("b", maxBodyBytes/16))
+		req.APIKey = "unknown"
+		raw := req.Raw()
+		return raw[:len(raw)-maxBodyBytes/32]
+	}}
+}
+
 // idle are connections that send nothing, or one request and nothing after it.
 func idle(p port) flood {
 	return flood{port: p, rest: nothing, held: func(i int) string {
@@ -175,6 +186,7 @@
 func TestSlowHeadsAtReady(t *testing.T)     { run(t, slowHeads(readyPort)) }
 func TestSlowHeadsAtOperators(t *testing.T) { run(t, slowHeads(operatorPort)) }
 func TestSlowBodies(t *testing.T)           { run(t, slowBodies()) }
+func TestSlowRejectedBodies(t *testing.T)   { run(t, slowRejectedBodies()) }
 
 // The same for more idle connections than the process may have descriptors.
 
