Bound what clients make a router hold before their requests are complete

Cause: the connections of callers were limited as if each held 24 KB, while a head of 68 KB that net/http accepted is a megabyte as a parsed header of short fields. The ready, peer and operator ports had no limit of connections, a message of a peer could announce gigabytes, and an unfinished body kept its memory, its place among the concurrent requests and its connection without a limit of time, also that of a request which had been rejected. The configuration's maxHeaderBytes, headerTimeoutMs and idleTimeoutMs were not used.

Change: package screener wraps the connections of all ports and counts unfinished heads and messages against one budget, a sixteenth of the memory; over it, the requests that have been unfinished for the longest are given up. It applies the configuration's limits, also after a change. Connections of the ready, operator and peer ports are limited; a new one replaces the one that has been without a complete request, or idle, for the longest. Buffers of bodies grow as bytes arrive, the longest unfinished body gives way to newer ones, bodies that take half a second no longer count toward the load, and they must arrive within the request's timeout (408). The rest of a rejected body has three seconds. The peer listener goes on after a lack of descriptors.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -29,6 +29,7 @@
 	"papayapaddle/internal/quarantiner"
 	"papayapaddle/internal/recorder"
 	"papayapaddle/internal/relayer"
+	"papayapaddle/internal/screener"
 	"papayapaddle/internal/sender"
 	"papayapaddle/internal/timer"
 	"papayapaddle/internal/watcher"
@@ -121,7 +122,10 @@
 	metrics    *metricSet
 	limiter    *concurrencyLimiter
 	refusalLog refusalLogLimiter
-	gcTuner    *gcTuner
+	// screener bounds the memory for unfinished requests, and screenLog the log lines about them.
+	screener  *screener.Screener
+	screenLog refusalLogLimiter
+	gcTuner   *gcTuner
 	// readiness takes an overloaded router out of the load balancer's rotation.
 	readiness  readinessGate
 	retryAfter retryAfterEstimator
@@ -193,7 +197,8 @@
 		},
 	}
 	n.logger = log.With(log.NewLogfmtLogger(rec), "router", s.Name)
-	n.limiter = newConcurrencyLimiter(s.Limits, func() int64 { return n.relayer.Active() })
+	n.limiter = newConcurrencyLimiter(s.Limits, func() int64 { return n.relayer.Load() })
+	n.screener = n.newScreener()
 	n.membership = messenger.NewMembership(n.self, minFailureTimeout, timer.SinceBoot)
 	n.gcTuner = newGCTuner()
 	n.aborted, n.abort = context.WithCancel(context.Background())
--- a/internal/conductor/idle.go
+++ b/internal/conductor/idle.go
@@ -40,6 +40,9 @@
 	if !ok {
 		return
 	}
+	if lc.screened != nil {
+		lc.screened.SetState(state)
+	}
 	if state != http.StateIdle {
 		i.remove(lc)
 		return
@@ -57,8 +60,13 @@
 
 // markIdle and markActive set the state of a connection whose requests are refused without the
 // HTTP server.
-func (i *idleConns) markIdle(c net.Conn)   { i.setState(c, http.StateIdle) }
-func (i *idleConns) markActive(c net.Conn) { i.setState(c, http.StateActive) }
+func (i *idleConns) markIdle(c net.Conn) { i.setState(c, http.StateIdle) }
+func (i *idleConns) markActive(c net.Conn) {
+	i.setState(c, http.StateActive)
+	if lc, ok := c.(*limitConn); ok {
+		lc.beginRefusal()
+	}
+}
 
 // remove removes a connection from the list, and reports whether it had been evicted.
 func (i *idleConns) remove(c *limitConn) (wasEvicted bool) {
--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -22,13 +22,6 @@
 	exitReserve = time.Second
 	// answerReserve is left before that to answer the requests whose servers are still at work.
 	answerReserve = 250 * time.Millisecond
-	// headerTimeout limits how long a caller may take to send the request header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout limits how long a caller's connection may be idle. It is longer than the
-	// timeouts that operators configure for callers, so that callers close connections first.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes limits the size of a request header.
-	maxHeaderBytes = 64 << 10
 	// activePollPeriod is how often the shutdown checks for active requests.
 	activePollPeriod = 50 * time.Millisecond
 )
@@ -66,6 +59,8 @@
 	n.limiter.onSample = n.handleSample
 	n.limiter.onCPUTimeError = func(err error) { n.log("processor-use-unreadable", "err", err) }
 	callerListener.hasCapacity = n.limiter.hasCapacity
+	callerListener.port = n.screener.NewPort("callers", 0)
+	callerListener.giveUpUnfinished = n.giveUpUnfinished
 	if callerListener.sockets, err = refuser.NewAccepter(callers); err != nil {
 		return failer.Wrap("listen", KindListen, err)
 	}
@@ -74,19 +69,21 @@
 	callerListener.refuser = &refuser.Refuser{
 		Decide: n.checkKeepAlive, CPULimiter: newRefusalLimiter(n.settings.Limits.CPUShare), RefusalCost: refusalCPUTime,
 		OnIdle: callerListener.idle.markIdle, OnActive: callerListener.idle.markActive, ReturnConn: n.returnedListener.deliver,
+		IdleTimeout: func() time.Duration { return n.requestLimits().IdleTimeout },
 	}
 	n.limiter.reportOverload = func() { n.logLoad(callerListener.open.Load()) }
 	var ctx context.Context
 	ctx, n.cancel = context.WithCancel(context.Background())
-	n.peerListener = peers
+	n.peerListener = n.screenPeers(peers)
 	n.callerServer = newServer(n.relayer)
 	n.callerServer.ConnState = callerListener.idle.setState
 	n.readyServer = newServer(n.readyHandler())
 	n.operatorServer = newServer(n.operatorHandler())
+	n.readyServer.WriteTimeout, n.operatorServer.WriteTimeout = ownWriteTimeout, ownWriteTimeout
 	go n.recorder.Run(n.done)
-	go n.serve("peers", func() error { return n.messenger.Serve(peers) })
-	go n.serve("ready", func() error { return n.readyServer.Serve(ready) })
-	go n.serve("operators", func() error { return n.operatorServer.Serve(operators) })
+	go n.serve("peers", func() error { return n.messenger.Serve(n.peerListener) })
+	go n.serve("ready", func() error { return n.readyServer.Serve(n.screen("ready", ready)) })
+	go n.serve("operators", func() error { return n.operatorServer.Serve(n.screen("operators", operators)) })
 	go n.serve("callers", func() error { return n.callerServer.Serve(callerListener) })
 	go n.serve("refused-callers", func() error { return n.callerServer.Serve(n.returnedListener) })
 	go n.limiter.run(ctx)
@@ -109,12 +106,6 @@
 	}
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-}
-
 // readyHandler serves the load balancer's readiness checks.
 func (n *node) readyHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/conductor/limit_listener.go
+++ b/internal/conductor/limit_listener.go
@@ -11,6 +11,7 @@
 
 	"papayapaddle/internal/linker"
 	"papayapaddle/internal/refuser"
+	"papayapaddle/internal/screener"
 )
 
 const (
@@ -47,6 +48,10 @@
 	// connection beyond the limit replaces one that has been idle for long.
 	hasCapacity func() bool
 	idle        idleConns
+	// port counts unfinished requests, and giveUpUnfinished ends the one of this listener that has been
+	// unfinished for the longest, in favor of a new connection. Both may be nil.
+	port             *screener.Port
+	giveUpUnfinished func(now time.Time) bool
 	// refuser reads and refuses requests.
 	refuser *refuser.Refuser
 
@@ -95,7 +100,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	if !l.allow(now, l.open.Load()) && (l.hasCapacity == nil || !l.hasCapacity() || !l.idle.evictOldest(now)) {
+	if !l.allow(now, l.open.Load()) && (l.hasCapacity == nil || !l.hasCapacity() || !l.makeRoom(now)) {
 		l.refuseConnection(c)
 		return nil, nil
 	}
@@ -109,6 +114,11 @@
 	return lc, nil
 }
 
+// makeRoom ends a connection that is idle or whose request is unfinished, and reports whether there was one.
+func (l *limitListener) makeRoom(now time.Time) bool {
+	return l.idle.evictOldest(now) || l.giveUpUnfinished != nil && l.giveUpUnfinished(now)
+}
+
 // acceptOverloaded accepts the next connection and refuses its request if that has already
 // arrived, without registering the socket with the network poller. The refuser handles all
 // other connections within the limit.
@@ -132,7 +142,9 @@
 	case err != nil:
 		l.onUnansweredClose()
 	case withinLimit:
-		go l.refuser.RefuseNewConn(l.track(c), buffered)
+		lc := l.track(c)
+		lc.beginRefusal()
+		go l.refuser.RefuseNewConn(lc, buffered)
 	default:
 		l.refuseConnection(&limitConn{Conn: c, listener: l, buffered: buffered, uncounted: true})
 	}
@@ -142,7 +154,12 @@
 // track counts a connection as open until it is closed.
 func (l *limitListener) track(c net.Conn) *limitConn {
 	l.open.Add(1)
-	return &limitConn{Conn: c, listener: l}
+	lc := &limitConn{Conn: c, listener: l}
+	if l.port != nil {
+		lc.screened = l.port.Wrap(c, lc.release)
+		lc.Conn = lc.screened
+	}
+	return lc
 }
 
 // refuseConnection reads one request from a connection and refuses it in the background. It
@@ -167,6 +184,8 @@
 	// the connection is evicted from the list; the lock of the list guards it.
 	idle    atomic.Bool
 	evicted bool
+	// screened is Conn, or nil if unfinished requests are not counted.
+	screened *screener.Conn
 	// buffered is data that was read before the connection was passed on.
 	buffered []byte
 	// detectsDeadPeer is set once detectDeadPeer was called.
@@ -199,6 +218,9 @@
 	if len(c.buffered) > 0 {
 		n := copy(p, c.buffered)
 		c.buffered = c.buffered[n:]
+		if c.screened != nil && !c.screened.Count(p[:n]) {
+			return 0, net.ErrClosed
+		}
 		return n, nil
 	}
 	n, err := c.Conn.Read(p)
@@ -211,13 +233,25 @@
 	return n, err
 }
 
-// Close closes the connection, which no longer counts as open.
-func (c *limitConn) Close() error {
+// beginRefusal marks the request as unfinished while the refuser reads it.
+func (c *limitConn) beginRefusal() {
+	if c.screened != nil {
+		c.screened.Begin()
+	}
+}
+
+// release ends the accounting of the connection, which no longer counts as open.
+func (c *limitConn) release() {
 	c.closeOnce.Do(func() {
 		if !c.uncounted {
 			c.listener.open.Add(-1)
 		}
 		c.listener.idle.remove(c)
 	})
+}
+
+// Close closes the connection.
+func (c *limitConn) Close() error {
+	c.release()
 	return c.Conn.Close()
 }
--- a/internal/conductor/refusal.go
+++ b/internal/conductor/refusal.go
@@ -96,6 +96,9 @@
 	}
 	// Peek never fails for data that is already buffered.
 	buffered, _ := rw.Reader.Peek(rw.Reader.Buffered())
+	if lc, ok := c.(*limitConn); ok {
+		lc.beginRefusal()
+	}
 	go n.callerListener.refuser.RefuseKeepAlive(c, buffered, req.ContentLength, &refuser.Refusal{Header: h, Close: n.isShuttingDown()})
 	return true
 }
--- a/internal/linker/dialer.go
+++ b/internal/linker/dialer.go
@@ -61,6 +61,9 @@
 // EnableKeepAlive makes a connection fail once the peer has been silent for about the
 // timeout.
 func EnableKeepAlive(c net.Conn, timeout time.Duration) error {
+	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapper.NetConn()
+	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return nil
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -38,6 +38,9 @@
 	callTimeout = 500 * time.Millisecond
 	// redialDelay is the time after a failed dial in which the peer is not dialed again.
 	redialDelay = 250 * time.Millisecond
+	// acceptRetryDelay is the time until the next attempt to accept a connection after a temporary error, such as a
+	// lack of descriptors.
+	acceptRetryDelay = 50 * time.Millisecond
 	// maxPending is the number of pending updates for a peer from which new ones are dropped.
 	maxPending = 4096
 )
@@ -284,6 +287,10 @@
 	}
 	for {
 		conn, err := ln.Accept()
+		if isTemporary(err) {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -302,6 +309,12 @@
 	}
 }
 
+// isTemporary reports whether a listener may accept connections again after an error.
+func isTemporary(err error) bool {
+	var temporary interface{ Temporary() bool }
+	return errors.As(err, &temporary) && temporary.Temporary()
+}
+
 // Close closes all connections.
 func (m *Messenger) Close() {
 	m.mu.Lock()
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -25,9 +25,9 @@
 	responseBufferBytes = 256
 	// maxBodyBytes is the longest request body that is read to keep a connection alive.
 	maxBodyBytes = 256 << 10
-	// idleTimeout limits the wait for the next request on a connection and the time to
-	// write a response.
-	idleTimeout = 2 * time.Minute
+	// defaultIdleTimeout limits the wait for the next request on a connection and the time to
+	// write a response, unless Refuser.IdleTimeout is set.
+	defaultIdleTimeout = 2 * time.Minute
 	// maxRefusalDelay is the longest time that a refusal waits behind other connections for
 	// the CPU limiter: an eighth of the shortest usual latency objective.
 	maxRefusalDelay = 50 * time.Millisecond
@@ -65,6 +65,9 @@
 	// was read from it.
 	OnIdle   func(net.Conn)
 	OnActive func(net.Conn)
+	// IdleTimeout returns the time that a connection may wait for its next request. If nil, it is
+	// defaultIdleTimeout.
+	IdleTimeout func() time.Duration
 	// ReturnConn hands a connection and the data read from it back to the HTTP server. It
 	// returns false if the server does not accept it any more.
 	ReturnConn func(c net.Conn, buffered []byte) bool
@@ -162,7 +165,11 @@
 // if the connection has ended.
 func (r *Refuser) awaitRequest(c net.Conn) *buffer {
 	// Connections without deadlines, such as those of tests, wait forever.
-	_ = c.SetDeadline(time.Now().Add(idleTimeout))
+	timeout := defaultIdleTimeout
+	if r.IdleTimeout != nil {
+		timeout = r.IdleTimeout()
+	}
+	_ = c.SetDeadline(time.Now().Add(timeout))
 	r.OnIdle(c)
 	b := readWhenReady(c)
 	r.OnActive(c)
--- a/internal/relayer/budget.go
+++ b/internal/relayer/budget.go
@@ -1,88 +1,256 @@
 package relayer
 
 import (
+	"container/list"
 	"errors"
 	"hash/fnv"
 	"io"
-	"sync/atomic"
+	"sync"
+	"time"
 )
 
 var (
 	errTooLarge = errors.New("request body too large")
 	errNoMemory = errors.New("memory budget for request bodies exceeded")
+	errGivenUp  = errors.New("request body took longer than others")
 )
 
-// MemoryBudget limits the memory used by buffered request bodies.
+const (
+	// initialBufferBytes is the initial buffer size for a body of unknown length, and for one of known length that
+	// exceeds it by far.
+	initialBufferBytes = 4 << 10
+	// maxInitialBufferBytes is the largest body for which the whole buffer is reserved before its bytes arrive.
+	maxInitialBufferBytes = 64 << 10
+	// bufferGrowth is by how many times its size a full buffer grows. Each growth leaves the smaller buffer as
+	// garbage.
+	bufferGrowth = 3
+	// stallTime is how long a body may take until its request no longer counts toward the load. Bodies of ordinary
+	// clients arrive sooner.
+	stallTime = 500 * time.Millisecond
+)
+
+// MemoryBudget limits the memory used by buffered request bodies. When it is exceeded, the bodies that have been
+// incomplete for the longest are given up.
 type MemoryBudget struct {
 	// MaxBytes must be set.
 	MaxBytes int64
 
-	used atomic.Int64
+	mu   sync.Mutex
+	used int64
+	// reading lists the bodies that are being read, the longest unfinished first. Those before fresh count as
+	// stalled; it is nil if all do.
+	reading list.List
+	fresh   *list.Element
+	// stalled is the number of stalled ones, including those that were given up and have not ended yet.
+	stalled int64
+}
+
+// bodyReader is a body that is being read. The lock of the budget guards its fields.
+type bodyReader struct {
+	since    time.Time
+	abort    func()
+	reserved int64
+	element  *list.Element
+	// stalled is set once the body counts as stalled, and givenUp once it is to be given up.
+	stalled, givenUp bool
 }
 
 // UsedBytes returns the bytes reserved by buffered bodies.
-func (b *MemoryBudget) UsedBytes() int64 { return b.used.Load() }
+func (b *MemoryBudget) UsedBytes() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Release returns the memory that ReadAll reserved for a body.
+func (b *MemoryBudget) Release(body []byte) {
+	if cap(body) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= int64(cap(body))
+}
+
+// Stalled returns the number of bodies that have been incomplete for stallTime.
+func (b *MemoryBudget) Stalled(now time.Time) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.fresh != nil {
+		r := b.fresh.Value.(*bodyReader)
+		if now.Sub(r.since) < stallTime {
+			break
+		}
+		b.markStalledLocked(r)
+	}
+	return b.stalled
+}
 
-func (b *MemoryBudget) reserve(n int64) bool {
-	if b.used.Add(n) > b.MaxBytes {
-		b.used.Add(-n)
+func (b *MemoryBudget) markStalledLocked(r *bodyReader) {
+	if r.stalled {
+		return
+	}
+	if b.fresh == r.element {
+		b.fresh = r.element.Next()
+	}
+	r.stalled = true
+	b.stalled++
+}
+
+// UnfinishedSince returns since when the longest incomplete body has been so.
+func (b *MemoryBudget) UnfinishedSince() (since time.Time, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.reading.Front(); e != nil {
+		return e.Value.(*bodyReader).since, true
+	}
+	return time.Time{}, false
+}
+
+// GiveUpOldest gives up the body that has been incomplete for the longest, and reports whether there was one.
+func (b *MemoryBudget) GiveUpOldest() bool {
+	b.mu.Lock()
+	r := b.giveUpOldestLocked()
+	b.mu.Unlock()
+	if r == nil {
 		return false
 	}
+	r.abort()
 	return true
 }
 
-// Release returns the memory that ReadAll reserved for a body.
-func (b *MemoryBudget) Release(body []byte) { b.used.Add(-int64(cap(body))) }
+func (b *MemoryBudget) giveUpOldestLocked() *bodyReader {
+	e := b.reading.Front()
+	if e == nil {
+		return nil
+	}
+	r := e.Value.(*bodyReader)
+	b.markStalledLocked(r)
+	b.reading.Remove(e)
+	b.used -= r.reserved
+	r.element, r.reserved, r.givenUp = nil, 0, true
+	return r
+}
+
+// reserve reserves n more bytes for a body that is being read. While they exceed the budget, the bodies that have
+// been incomplete for longer are given up.
+func (b *MemoryBudget) reserve(r *bodyReader, n int64) error {
+	b.mu.Lock()
+	var victims []*bodyReader
+	for b.used+n > b.MaxBytes && !r.givenUp {
+		// A body that does not fit beside the complete ones is refused without a loss to others.
+		if e := b.reading.Front(); e == nil || e.Value.(*bodyReader) == r {
+			break
+		}
+		victims = append(victims, b.giveUpOldestLocked())
+	}
+	err := error(nil)
+	switch {
+	case r.givenUp:
+		err = errGivenUp
+	case b.used+n > b.MaxBytes:
+		err = errNoMemory
+	default:
+		b.used += n
+		r.reserved += n
+	}
+	b.mu.Unlock()
+	for _, v := range victims {
+		v.abort()
+	}
+	return err
+}
 
-// initialBufferBytes is the initial buffer size for a body of unknown length.
-const initialBufferBytes = 4 << 10
+func (b *MemoryBudget) begin(abort func()) *bodyReader {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := &bodyReader{since: time.Now(), abort: abort}
+	r.element = b.reading.PushBack(r)
+	if b.fresh == nil {
+		b.fresh = r.element
+	}
+	return r
+}
 
-// ReadAll reads a body of at most limit bytes. A negative contentLength means that the length
-// is unknown. The memory stays reserved until Release.
-func (b *MemoryBudget) ReadAll(r io.Reader, contentLength, limit int64) ([]byte, error) {
-	if contentLength == 0 {
-		return nil, nil
+// end ends the reading of a body. Unless it failed, its memory stays reserved.
+func (b *MemoryBudget) end(r *bodyReader, err error) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.stalled {
+		b.stalled--
 	}
-	size := contentLength
-	if contentLength < 0 {
-		size = initialBufferBytes
+	if r.givenUp {
+		return errGivenUp
 	}
-	if !b.reserve(size) {
-		return nil, errNoMemory
+	if b.fresh == r.element {
+		b.fresh = r.element.Next()
 	}
-	if contentLength > 0 {
-		body := make([]byte, contentLength)
-		if _, err := io.ReadFull(r, body); err != nil {
-			b.used.Add(-size)
-			return nil, err
-		}
-		return body, nil
+	b.reading.Remove(r.element)
+	if err != nil {
+		b.used -= r.reserved
 	}
-	return b.grow(r, make([]byte, 0, size), limit)
+	return err
 }
 
-// grow reads a body of unknown length, doubling the buffer as needed.
-func (b *MemoryBudget) grow(r io.Reader, body []byte, limit int64) ([]byte, error) {
+// ReadAll reads a body of at most limit bytes. A negative contentLength means that the length
+// is unknown. The memory stays reserved until Release. abort must make a pending read fail; it is called if the body is
+// given up in favor of others. stalled reports whether the body did not count toward the load in the end.
+func (b *MemoryBudget) ReadAll(body io.Reader, contentLength, limit int64, abort func()) (data []byte, stalled bool, err error) {
+	if contentLength == 0 {
+		return nil, false, nil
+	}
+	r := b.begin(abort)
+	data, err = b.read(r, body, contentLength, limit)
+	if err = b.end(r, err); err != nil {
+		return nil, r.stalled, err
+	}
+	return data, r.stalled, nil
+}
+
+// Discard reads at most limit bytes of a body. abort is as for ReadAll.
+func (b *MemoryBudget) Discard(body io.Reader, limit int64, abort func()) {
+	r := b.begin(abort)
+	// A body that ends early is of no concern: the request is not served.
+	_, err := io.CopyN(io.Discard, body, limit)
+	_ = b.end(r, err)
+}
+
+// read reads a body into a buffer that grows as its bytes arrive, so that a body that is announced and not sent takes
+// little memory.
+func (b *MemoryBudget) read(r *bodyReader, body io.Reader, contentLength, limit int64) ([]byte, error) {
+	size := int64(initialBufferBytes)
+	if contentLength > 0 {
+		size = min(contentLength, maxInitialBufferBytes)
+	}
+	if err := b.reserve(r, size); err != nil {
+		return nil, err
+	}
+	data := make([]byte, 0, size)
 	for {
-		if len(body) == cap(body) {
-			growBy := int64(cap(body))
-			if !b.reserve(growBy) {
-				b.Release(body)
-				return nil, errNoMemory
+		if len(data) == cap(data) {
+			if int64(len(data)) == contentLength {
+				return data, nil
 			}
-			body = append(make([]byte, 0, 2*growBy), body...)
+			growBy := bufferGrowth * int64(cap(data))
+			if contentLength > 0 {
+				growBy = min(growBy, contentLength-int64(cap(data)))
+			}
+			if err := b.reserve(r, growBy); err != nil {
+				return nil, err
+			}
+			data = append(make([]byte, 0, int64(cap(data))+growBy), data...)
 		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if int64(len(body)) > limit {
-			b.Release(body)
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if int64(len(data)) > limit {
 			return nil, errTooLarge
 		}
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			b.Release(body)
+		switch {
+		case errors.Is(err, io.EOF) && contentLength > 0 && int64(len(data)) < contentLength:
+			return nil, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil:
 			return nil, err
 		}
 	}
--- a/internal/relayer/overload.go
+++ b/internal/relayer/overload.go
@@ -27,7 +27,7 @@
 	if shutdownStart, _ := r.Shutdown(); !shutdownStart.IsZero() {
 		return nil
 	}
-	reason := r.CheckAdmission(route.Kind, workspace, r.active.Load()+1)
+	reason := r.CheckAdmission(route.Kind, workspace, r.Load()+1)
 	if reason == "" {
 		return nil
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -6,8 +6,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -118,6 +116,10 @@
 // Active returns the number of requests being served.
 func (r *Relayer) Active() int64 { return r.active.Load() }
 
+// Load returns the number of requests being served, without those whose bodies have not arrived for a while. A client
+// could otherwise keep others out by not sending its bodies.
+func (r *Relayer) Load() int64 { return max(0, r.active.Load()-r.BodyBudget.Stalled(time.Now())) }
+
 // exchange is the state of one request while it is served.
 type exchange struct {
 	*Relayer
@@ -128,6 +130,8 @@
 	call   Call
 	config Config
 	body   []byte
+	// bodyRead is true once the body was read, or its reading has failed.
+	bodyRead bool
 	// identity is what the request asks for.
 	identity quarantiner.Request
 	// testsVerdict is true if the request tests whether a part of it, or the whole, still crashes servers.
@@ -318,58 +322,34 @@
 		x.refuse(reasonShuttingDown, RetryElsewhereDelay)
 		return false
 	}
-	if reason := x.Admit(x.call.Route.Kind, x.call.Workspace, x.active.Load()); reason != "" {
-		// Closing the connection helps only if a new one reaches another router, that is, if
-		// this one is withdrawn. Otherwise the connection stays open, as accepting a new one
-		// costs more than this refusal.
-		if x.Withdrawn != nil && x.Withdrawn() {
-			x.w.Header().Set("Connection", "close")
-		}
-		x.refusedForOverload = true
-		retryAfter := RetryElsewhereDelay
-		if x.RetryAfter != nil {
-			retryAfter = x.RetryAfter(x.call.CallerTimeout)
-		}
-		if !x.hijackAndRefuse(reason, retryAfter) {
-			x.refuse(reason, retryAfter)
-		}
+	if reason := x.Admit(x.call.Route.Kind, x.call.Workspace, x.Load()); reason != "" {
+		x.refuseOverload(reason)
 		return false
 	}
 	x.admitted, x.admittedWorkspace = true, x.call.Workspace
 	return true
 }
 
-// defaultTimeout applies if neither the caller nor the route sets a timeout.
-const defaultTimeout = 15 * time.Second
-
-// readRequestBody buffers the request body. It returns false if it responded to the request
-// instead.
-func (x *exchange) readRequestBody() bool {
-	limit := int64(defaultMaxBodyBytes)
-	if n := x.config.Catalog.Limits.MaxBodyBytes; n > 0 {
-		limit = int64(n)
+// refuseOverload refuses the request because of overload. Closing the connection helps only if a new one reaches
+// another router, that is, if this one is withdrawn. Otherwise the connection stays open, as accepting a new one costs
+// more than this refusal.
+func (x *exchange) refuseOverload(reason string) {
+	if x.Withdrawn != nil && x.Withdrawn() {
+		x.w.Header().Set("Connection", "close")
 	}
-	if x.req.ContentLength > limit {
-		x.reject(http.StatusRequestEntityTooLarge, "body-too-large")
-		return false
+	x.refusedForOverload = true
+	retryAfter := RetryElsewhereDelay
+	if x.RetryAfter != nil {
+		retryAfter = x.RetryAfter(x.call.CallerTimeout)
 	}
-	body, err := x.BodyBudget.ReadAll(x.req.Body, x.req.ContentLength, limit)
-	switch {
-	case err == nil:
-		x.body = body
-		return true
-	case errors.Is(err, errTooLarge):
-		x.reject(http.StatusRequestEntityTooLarge, "body-too-large")
-	case errors.Is(err, errNoMemory):
-		x.refuse("no-memory", retrySoonDelay)
-	case errors.Is(err, io.ErrUnexpectedEOF) || x.req.Context().Err() != nil:
-		x.setOutcome(outcomeCallerGone, statusClientClosedRequest)
-	default:
-		x.reject(http.StatusBadRequest, "body-broken")
+	if !x.hijackAndRefuse(reason, retryAfter) {
+		x.refuse(reason, retryAfter)
 	}
-	return false
 }
 
+// defaultTimeout applies if neither the caller nor the route sets a timeout.
+const defaultTimeout = 15 * time.Second
+
 func (x *exchange) setOutcome(outcome string, status int) { x.outcome, x.status = outcome, status }
 
 // reject responds to an invalid or unauthorized request.
@@ -414,6 +394,8 @@
 		return
 	}
 	x.setOutcome(outcome, status)
+	x.discardBody()
+	x.extendWriteDeadline()
 	h := x.w.Header()
 	x.Codec.EncodeRefusal(h, x.call.ID, retryAfter)
 	h.Set("Content-Length", "0")
