Bound what routers hold for clients and servers that read slowly

Cause: a plain response of up to 256 KB was held for each concurrent request whatever the memory of the router, the kernel buffered megabytes more for a connection whose other side did not read, a request body was copied once more while it was written, and clients that did not read counted toward the limit of concurrent requests.

Change: relayer.ResponseBudget bounds what exceeds 16 KB of responses by router and workspace; over it, the client that has made no progress for the longest is cut off. Bodies are bounded by workspace too. The kernel's buffers are bounded for each connection, derived from the memory. Longer bodies are written to servers without a copy.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -74,6 +74,9 @@
 	// limit of the Go runtime, and bodyMemoryFraction the fraction for request bodies.
 	softMemoryLimitFraction = 0.75
 	bodyMemoryFraction      = 0.25
+	// responseMemoryFraction is the fraction of the memory for responses that are longer than the limit of concurrent requests
+	// covers.
+	responseMemoryFraction = 1.0 / 8
 	// usageDecayFraction is the time constant of the exponential decay of workspace usage, as
 	// a fraction of the window over which fair shares are measured.
 	usageDecayFraction = 0.5
@@ -253,7 +256,8 @@
 }
 
 func newSender(n *node) *sender.Sender {
-	return &sender.Sender{Dial: linker.NewKeepAliveDialer(serverConnSilenceTimeout), OnConnect: n.metrics.countServerConn}
+	dial := linker.WithBuffers(linker.NewKeepAliveDialer(serverConnSilenceTimeout), serverBufferBytes(n.settings.Limits))
+	return &sender.Sender{Dial: dial, OnConnect: n.metrics.countServerConn}
 }
 
 func newRelayer(
@@ -281,7 +285,10 @@
 		HijackAndRefuse: n.refuseKeepAlive, RetryAfter: n.retryAfter.randomDelay,
 		Withdrawn:  func() bool { return n.readiness.isOutOfRotation(time.Now()) },
 		BodyBudget: &relayer.MemoryBudget{MaxBytes: int64(float64(n.settings.Limits.MemoryMB<<20) * bodyMemoryFraction)},
-		Log:        n.log, ShouldLogRefusal: n.refusalLog.allow, Observe: n.metrics.recordRequest,
+		ResponseBudget: &relayer.ResponseBudget{
+			MaxBytes: int64(float64(n.settings.Limits.MemoryMB<<20) * responseMemoryFraction), OnCut: func() { n.metrics.increment("slow-readers-cut") },
+		},
+		Log: n.log, ShouldLogRefusal: n.refusalLog.allow, Observe: n.metrics.recordRequest,
 	}
 }
 
--- a/internal/conductor/lifecycle.go
+++ b/internal/conductor/lifecycle.go
@@ -52,6 +52,9 @@
 	if err != nil {
 		return failer.Wrap("listen", KindListen, err)
 	}
+	if err := linker.SetBuffers(callers, callerBufferBytes(n.settings.Limits)); err != nil {
+		return failer.Wrap("listen", KindListen, err)
+	}
 	if err := linker.SetBacklog(callers, acceptQueueLength); err != nil {
 		return failer.Wrap("listen", KindListen, err)
 	}
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -108,8 +108,8 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.write(w)
-		fmt.Fprintf(w, "active-requests %d\nbody-bytes %d\nunfinished-bytes %d\nrouters-reachable %d\nlag-ms %d\n",
-			n.relayer.Active(), n.relayer.BodyBudget.UsedBytes(), n.screener.UsedBytes(), len(n.membership.Reachable()), time.Duration(n.limiter.lag.Load()).Milliseconds())
+		fmt.Fprintf(w, "active-requests %d\nbody-bytes %d\nunfinished-bytes %d\nresponse-bytes %d\nrouters-reachable %d\nlag-ms %d\n",
+			n.relayer.Active(), n.relayer.BodyBudget.UsedBytes(), n.screener.UsedBytes(), n.relayer.ResponseBudget.UsedBytes(), len(n.membership.Reachable()), time.Duration(n.limiter.lag.Load()).Milliseconds())
 	})
 	r.HandleFunc("/state", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/conductor/screen.go
+++ b/internal/conductor/screen.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"papayapaddle/internal/screener"
+	"papayapaddle/platform"
 )
 
 // Limits for clients that the configuration does not set.
@@ -26,6 +27,9 @@
 	// minUnfinishedTime is how long a request must have been unfinished before it may be given up in favor of a new
 	// connection. Ordinary clients send a request within milliseconds.
 	minUnfinishedTime = 500 * time.Millisecond
+	// minUnreadTime is the same for a client that does not read its response. The window of a sound connection moves
+	// on after a retransmission, which takes some hundred milliseconds.
+	minUnreadTime = 2 * time.Second
 	// maxProbeConns limits the connections of the load balancer's checks, and maxOperatorConns those of operators.
 	maxProbeConns    = 32
 	maxOperatorConns = 32
@@ -36,6 +40,27 @@
 	maxPeerConns           = 1024
 )
 
+const (
+	// callerBufferFraction and serverBufferFraction are the fractions of the memory that the kernel may buffer, in each
+	// direction, for a connection of a caller and one to a server. Without a limit it buffers several megabytes for a
+	// connection whose other side reads slowly.
+	callerBufferFraction = 1.0 / 2048
+	serverBufferFraction = 1.0 / 1024
+	// minBufferBytes keeps a connection over 8 ms, as between zones, at 4 MB a second at least, and maxBufferBytes at 64.
+	minBufferBytes = 32 << 10
+	maxBufferBytes = 512 << 10
+)
+
+// callerBufferBytes returns what the kernel may buffer for a caller's connection in each direction.
+func callerBufferBytes(r platform.ResourceLimits) int { return bufferBytes(r, callerBufferFraction) }
+
+// serverBufferBytes returns the same for a connection to a server.
+func serverBufferBytes(r platform.ResourceLimits) int { return bufferBytes(r, serverBufferFraction) }
+
+func bufferBytes(r platform.ResourceLimits, fraction float64) int {
+	return min(max(int(float64(r.MemoryMB<<20)*fraction), minBufferBytes), maxBufferBytes)
+}
+
 // requestLimits returns the operators' limits for clients.
 func (n *node) requestLimits() screener.Limits {
 	limits := screener.Limits{MaxHeaderBytes: defaultMaxHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
@@ -86,7 +111,8 @@
 }
 
 // giveUpUnfinished ends the caller's request that has been unfinished for the longest, head or body, in favor of a
-// new connection. It reports false if there is none that has been so for minUnfinishedTime.
+// new connection, or else the response whose client has not read for the longest. It reports false if there is none
+// that has been so for minUnfinishedTime or minUnreadTime.
 func (n *node) giveUpUnfinished(now time.Time) bool {
 	headSince, hasHead := n.callerListener.port.UnfinishedSince()
 	bodySince, hasBody := n.relayer.BodyBudget.UnfinishedSince()
@@ -99,7 +125,7 @@
 		n.metrics.increment("given-up-callers-body")
 		return n.relayer.BodyBudget.GiveUpOldest()
 	}
-	return false
+	return n.relayer.ResponseBudget.CutSlowest(now, minUnreadTime)
 }
 
 // newServer returns an HTTP server whose connections have the limits of a screener.Conn. The timeouts apply to
--- a/internal/flooder/crowd_test.go
+++ b/internal/flooder/crowd_test.go
@@ -20,7 +20,7 @@
 	if f.port == refusalPort {
 		cpuShare = filledCPUShare
 	}
-	r := start(t, cpuShare)
+	r := start(t, cpuShare, f.responseBytes)
 	r.answersOrdinary(f.port, "before the flood")
 	if f.port == refusalPort {
 		r.fill()
--- a/internal/flooder/flood_test.go
+++ b/internal/flooder/flood_test.go
@@ -59,6 +59,8 @@
 	// held is sent by each connection of the crowd, which then pauses, and rest afterwards. Both get the number of
 	// the connection.
 	held, rest func(i int) string
+	// responseBytes is the least length of the responses to the crowd and to ordinary clients.
+	responseBytes int
 }
 
 const requestLine = "POST " + standin.PlainPrefix + "x HTTP/1.1\r\nHost: " + standin.Host + "\r\n"
@@ -141,6 +143,25 @@
 	}}
 }
 
+// manyFields are requests for streams within the limits, whose heads are many times as long once they are parsed.
+func manyFields() flood {
+	return flood{port: callerPort, rest: nothing, held: func(i int) string {
+		req := standin.Request{
+			Path: standin.ModelPrefix + "x", ID: fmt.Sprint("many-", i), APIKey: standin.APIKey, TokenUsage: "100,3000", SharedPart: fmt.Sprint("part-", i),
+		}
+		head, body, _ := strings.Cut(req.Raw(), "\r\n\r\n")
+		more := fields(maxHeaderBytes - len(head) - 4)
+		return head + "\r\n" + more[:strings.LastIndex(more, "\r\n")] + "\r\n\r\n" + body
+	}}
+}
+
+// slowReaders are requests with long responses that the clients do not read.
+func slowReaders() flood {
+	return flood{port: callerPort, rest: nothing, responseBytes: 200 << 10, held: func(i int) string {
+		return ordinaryRequest(fmt.Sprint("unread-", i), "").Raw()
+	}}
+}
+
 // idle are connections that send nothing, or one request and nothing after it.
 func idle(p port) flood {
 	return flood{port: p, rest: nothing, held: func(i int) string {
@@ -179,6 +200,8 @@
 func TestEmptyLinesAtPeers(t *testing.T)     { run(t, emptyLines(peerPort)) }
 func TestEmptyLinesAtOperators(t *testing.T) { run(t, emptyLines(operatorPort)) }
 
+func TestManyFieldsAtCallers(t *testing.T) { run(t, manyFields()) }
+
 // The same for heads and bodies that pause, which keep ordinary clients out as long as they last.
 
 func TestSlowHeadsAtCallers(t *testing.T)   { run(t, slowHeads(callerPort)) }
@@ -188,6 +211,10 @@
 func TestSlowBodies(t *testing.T)           { run(t, slowBodies()) }
 func TestSlowRejectedBodies(t *testing.T)   { run(t, slowRejectedBodies()) }
 
+// The same for responses that clients do not read.
+
+func TestSlowReadersAtCallers(t *testing.T) { run(t, slowReaders()) }
+
 // The same for more idle connections than the process may have descriptors.
 
 func TestIdleConnectionsAtCallers(t *testing.T)   { run(t, idle(callerPort)) }
--- a/internal/flooder/process_test.go
+++ b/internal/flooder/process_test.go
@@ -86,8 +86,9 @@
 	return standin.Request{Path: standin.PlainPrefix + "x", ID: id, APIKey: standin.APIKey, Body: body}
 }
 
-// start starts a cluster and a router, and waits until it is ready.
-func start(t *testing.T, cpuShare float64) *router {
+// start starts a cluster, whose plain servers send responses of at least the given length, and a router, and waits
+// until it is ready.
+func start(t *testing.T, cpuShare float64, responseBytes int) *router {
 	cluster, err := standin.NewCluster(2, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -98,6 +99,9 @@
 		cluster.Close(ctx)
 	})
 	cluster.Engine = standin.Engine{Slots: 64, MemoryTokens: 1_000_000, TokensPerEvent: 10}
+	for _, s := range cluster.PlainServers {
+		s.ResponseBytes = responseBytes
+	}
 	for _, s := range cluster.ModelServers {
 		s.EventInterval = 200 * time.Millisecond
 		cluster.PutServer(s.ID, standin.ModelService, "ready")
--- a/internal/linker/dialer.go
+++ b/internal/linker/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -79,6 +80,42 @@
 	return control("", "", raw)
 }
 
+// WithBuffers limits the bytes that the kernel buffers for each connection that a dial function opens. The kernel
+// takes up to twice as much memory for them.
+func WithBuffers(dial DialFunc, bytes int) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			if err := errors.Join(tcp.SetReadBuffer(bytes), tcp.SetWriteBuffer(bytes)); err != nil {
+				conn.Close()
+				return nil, err
+			}
+		}
+		return conn, nil
+	}
+}
+
+// SetBuffers limits the bytes that the kernel buffers for each connection that a listener accepts from now on. The
+// kernel takes up to twice as much memory for them.
+func SetBuffers(ln *net.TCPListener, bytes int) error {
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optionErr error
+	if err := raw.Control(func(fd uintptr) {
+		for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
+			optionErr = errors.Join(optionErr, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, bytes))
+		}
+	}); err != nil {
+		return err
+	}
+	return optionErr
+}
+
 // SetBacklog sets the maximum number of connections that wait to be accepted.
 func SetBacklog(ln net.Listener, backlog int) error {
 	tcp, ok := ln.(*net.TCPListener)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -256,7 +256,7 @@
 
 // bufferBody reads the body up to one byte more than maxBufferedBytes.
 func (x *exchange) bufferBody(resp *sender.Response) ([]byte, *attemptFailure) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	body, err := x.readResponse(resp)
 	if err != nil {
 		return nil, &attemptFailure{sent: true, connectionBroke: true, reason: "answer-cut", err: err}
 	}
--- a/internal/relayer/body.go
+++ b/internal/relayer/body.go
@@ -31,7 +31,8 @@
 	// A body that is incomplete at the deadline needs no response. Connections without deadlines, such as those of
 	// tests, have no slow clients.
 	_ = x.respCtl.SetReadDeadline(x.call.Deadline)
-	body, stalled, err := x.BodyBudget.ReadAll(x.req.Body, x.req.ContentLength, limit, x.abortRead)
+	body, stalled, err := x.BodyBudget.ReadAll(x.admittedWorkspace, x.req.Body, x.req.ContentLength, limit, x.abortRead)
+	x.bodyBytes = int64(cap(body))
 	switch {
 	case err == nil && stalled && x.CheckAdmission != nil:
 		return x.admitAgain(body)
--- a/internal/relayer/budget.go
+++ b/internal/relayer/budget.go
@@ -24,19 +24,23 @@
 	// bufferGrowth is by how many times its size a full buffer grows. Each growth leaves the smaller buffer as
 	// garbage.
 	bufferGrowth = 3
+	// workspaceBodyFraction is the fraction of the budget for the bodies of one workspace.
+	workspaceBodyFraction = 0.75
 	// stallTime is how long a body may take until its request no longer counts toward the load. Bodies of ordinary
 	// clients arrive sooner.
 	stallTime = 500 * time.Millisecond
 )
 
-// MemoryBudget limits the memory used by buffered request bodies. When it is exceeded, the bodies that have been
-// incomplete for the longest are given up.
+// MemoryBudget limits the memory used by buffered request bodies, in total and for each workspace. When it is
+// exceeded, the bodies that have been incomplete for the longest are given up, of the workspace if only its part is
+// exceeded.
 type MemoryBudget struct {
 	// MaxBytes must be set.
 	MaxBytes int64
 
-	mu   sync.Mutex
-	used int64
+	mu          sync.Mutex
+	used        int64
+	byWorkspace map[string]int64
 	// reading lists the bodies that are being read, the longest unfinished first. Those before fresh count as
 	// stalled; it is nil if all do.
 	reading list.List
@@ -47,7 +51,9 @@
 
 // bodyReader is a body that is being read. The lock of the budget guards its fields.
 type bodyReader struct {
-	since    time.Time
+	workspace string
+	since     time.Time
+	// abort is called with the lock, so that it never meets a later request on the connection.
 	abort    func()
 	reserved int64
 	element  *list.Element
@@ -110,61 +116,91 @@
 // GiveUpOldest gives up the body that has been incomplete for the longest, and reports whether there was one.
 func (b *MemoryBudget) GiveUpOldest() bool {
 	b.mu.Lock()
-	r := b.giveUpOldestLocked()
-	b.mu.Unlock()
-	if r == nil {
-		return false
-	}
-	r.abort()
-	return true
+	defer b.mu.Unlock()
+	return b.giveUpOldestLocked()
 }
 
-func (b *MemoryBudget) giveUpOldestLocked() *bodyReader {
+func (b *MemoryBudget) giveUpOldestLocked() bool {
 	e := b.reading.Front()
 	if e == nil {
-		return nil
+		return false
 	}
-	r := e.Value.(*bodyReader)
+	b.giveUpLocked(e.Value.(*bodyReader))
+	return true
+}
+
+func (b *MemoryBudget) giveUpLocked(r *bodyReader) {
 	b.markStalledLocked(r)
-	b.reading.Remove(e)
-	b.used -= r.reserved
-	r.element, r.reserved, r.givenUp = nil, 0, true
-	return r
+	b.reading.Remove(r.element)
+	b.addLocked(r, -r.reserved)
+	r.element, r.givenUp = nil, true
+	r.abort()
 }
 
 // reserve reserves n more bytes for a body that is being read. While they exceed the budget, the bodies that have
 // been incomplete for longer are given up.
 func (b *MemoryBudget) reserve(r *bodyReader, n int64) error {
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.givenUp {
+		return errGivenUp
+	}
+	own := b.byWorkspace[r.workspace]
+	limit := int64(workspaceBodyFraction * float64(b.MaxBytes))
+	// A single body may be longer than the part of its workspace.
+	if own > r.reserved && !b.makeRoomLocked(r, own+n-limit, true) || !b.makeRoomLocked(r, b.used+n-b.MaxBytes, false) {
+		return errNoMemory
+	}
+	b.addLocked(r, n)
+	return nil
+}
+
+// makeRoomLocked gives up bodies that have been incomplete for longer than a given one, until they had at least
+// excess bytes. If these do not suffice, it gives up none and returns false.
+func (b *MemoryBudget) makeRoomLocked(r *bodyReader, excess int64, ownWorkspace bool) bool {
 	var victims []*bodyReader
-	for b.used+n > b.MaxBytes && !r.givenUp {
-		// A body that does not fit beside the complete ones is refused without a loss to others.
-		if e := b.reading.Front(); e == nil || e.Value.(*bodyReader) == r {
-			break
+	for e := b.reading.Front(); excess > 0; e = e.Next() {
+		v := e.Value.(*bodyReader)
+		if v == r {
+			return false
+		}
+		if !ownWorkspace || v.workspace == r.workspace {
+			excess -= v.reserved
+			victims = append(victims, v)
 		}
-		victims = append(victims, b.giveUpOldestLocked())
-	}
-	err := error(nil)
-	switch {
-	case r.givenUp:
-		err = errGivenUp
-	case b.used+n > b.MaxBytes:
-		err = errNoMemory
-	default:
-		b.used += n
-		r.reserved += n
 	}
-	b.mu.Unlock()
 	for _, v := range victims {
-		v.abort()
+		b.giveUpLocked(v)
 	}
-	return err
+	return true
+}
+
+func (b *MemoryBudget) addLocked(r *bodyReader, n int64) {
+	b.used += n
+	r.reserved += n
+	b.addToWorkspaceLocked(r.workspace, n)
+}
+
+func (b *MemoryBudget) addToWorkspaceLocked(workspace string, n int64) {
+	if b.byWorkspace == nil {
+		b.byWorkspace = map[string]int64{}
+	}
+	if b.byWorkspace[workspace] += n; b.byWorkspace[workspace] == 0 {
+		delete(b.byWorkspace, workspace)
+	}
+}
+
+// releaseWorkspace returns to a workspace's part what a body has reserved. Release returns it to the budget.
+func (b *MemoryBudget) releaseWorkspace(workspace string, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addToWorkspaceLocked(workspace, -n)
 }
 
-func (b *MemoryBudget) begin(abort func()) *bodyReader {
+func (b *MemoryBudget) begin(workspace string, abort func()) *bodyReader {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := &bodyReader{since: time.Now(), abort: abort}
+	r := &bodyReader{workspace: workspace, since: time.Now(), abort: abort}
 	r.element = b.reading.PushBack(r)
 	if b.fresh == nil {
 		b.fresh = r.element
@@ -187,19 +223,19 @@
 	}
 	b.reading.Remove(r.element)
 	if err != nil {
-		b.used -= r.reserved
+		b.addLocked(r, -r.reserved)
 	}
 	return err
 }
 
-// ReadAll reads a body of at most limit bytes. A negative contentLength means that the length
-// is unknown. The memory stays reserved until Release. abort must make a pending read fail; it is called if the body is
+// ReadAll reads a body of a workspace's request of at most limit bytes. A negative contentLength means that the length
+// is unknown. The memory stays reserved until Release and releaseWorkspace. abort must make a pending read fail; it is called if the body is
 // given up in favor of others. stalled reports whether the body did not count toward the load in the end.
-func (b *MemoryBudget) ReadAll(body io.Reader, contentLength, limit int64, abort func()) (data []byte, stalled bool, err error) {
+func (b *MemoryBudget) ReadAll(workspace string, body io.Reader, contentLength, limit int64, abort func()) (data []byte, stalled bool, err error) {
 	if contentLength == 0 {
 		return nil, false, nil
 	}
-	r := b.begin(abort)
+	r := b.begin(workspace, abort)
 	data, err = b.read(r, body, contentLength, limit)
 	if err = b.end(r, err); err != nil {
 		return nil, r.stalled, err
@@ -209,7 +245,7 @@
 
 // Discard reads at most limit bytes of a body. abort is as for ReadAll.
 func (b *MemoryBudget) Discard(body io.Reader, limit int64, abort func()) {
-	r := b.begin(abort)
+	r := b.begin("", abort)
 	// A body that ends early is of no concern: the request is not served.
 	_, err := io.CopyN(io.Discard, body, limit)
 	_ = b.end(r, err)
--- a/internal/relayer/budget_test.go
+++ b/internal/relayer/budget_test.go
@@ -42,7 +42,7 @@
 		if errors.Is(err, io.ErrUnexpectedEOF) && len(want) > limit {
 			err = errTooLarge
 		}
-		data, _, gotErr := b.ReadAll(r, length, limit, func() {})
+		data, _, gotErr := b.ReadAll("demo", r, length, limit, func() {})
 		if length == limit+1 && errors.Is(gotErr, io.ErrUnexpectedEOF) {
 			// The relayer refuses such a body before it is read.
 			gotErr = errTooLarge
@@ -56,7 +56,8 @@
 			t.Fatalf("%d bytes are reserved for a buffer of %d", b.UsedBytes(), cap(data))
 		}
 		b.Release(data)
-		if b.UsedBytes() != 0 || b.Stalled(time.Now().Add(time.Hour)) != 0 {
+		b.releaseWorkspace("demo", int64(cap(data)))
+		if b.UsedBytes() != 0 || len(b.byWorkspace) != 0 || b.Stalled(time.Now().Add(time.Hour)) != 0 {
 			t.Fatalf("%d bytes and %d bodies are left", b.UsedBytes(), b.Stalled(time.Now()))
 		}
 	})
@@ -77,11 +78,11 @@
 		const size = 64 << 10
 		b := &MemoryBudget{MaxBytes: 3 * size}
 		var readers sync.WaitGroup
-		start := func() *slowBody {
+		start := func(workspace string) *slowBody {
 			receive, send := net.Pipe()
 			s := &slowBody{send: send}
 			readers.Go(func() {
-				s.data, s.stall, s.err = b.ReadAll(receive, size, size, func() { receive.Close() })
+				s.data, s.stall, s.err = b.ReadAll(workspace, receive, size, size, func() { receive.Close() })
 			})
 			synctest.Wait()
 			return s
@@ -91,12 +92,12 @@
 			c.Assert(err, qt.IsNil)
 		}
 		var bodies []*slowBody
-		for range 3 {
-			bodies = append(bodies, start())
+		for i := range 3 {
+			bodies = append(bodies, start([]string{"a", "b", "a"}[i]))
 			time.Sleep(stallTime / 2)
 		}
 		c.Check(b.Stalled(time.Now()), qt.Equals, int64(2))
-		last := start()
+		last := start("b")
 		synctest.Wait()
 		c.Check(bodies[0].err, qt.Equals, errGivenUp)
 		c.Check(b.UsedBytes(), qt.Equals, int64(3*size))
@@ -109,13 +110,19 @@
 		c.Check(last.stall, qt.IsFalse)
 		c.Check(b.Stalled(time.Now().Add(time.Hour)), qt.Equals, int64(0))
 		// Complete bodies are never given up: their requests may be running.
-		refused := start()
+		refused := start("c")
 		readers.Wait()
 		c.Check(refused.err, qt.Equals, errNoMemory)
 		for _, s := range []*slowBody{bodies[1], bodies[2], last} {
 			c.Check(s.err, qt.IsNil)
 			b.Release(s.data)
 		}
+		// The workspaces have all that was reserved for their bodies until it is returned to them too.
+		full := start("b")
+		c.Check(full.err, qt.Equals, errNoMemory)
+		b.releaseWorkspace("b", 2*size)
+		b.releaseWorkspace("a", size)
+		c.Check(b.byWorkspace, qt.HasLen, 0)
 		c.Check(b.UsedBytes(), qt.Equals, int64(0))
 	})
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -72,7 +72,9 @@
 	Withdrawn func() bool
 	// BodyBudget limits the memory for request bodies.
 	BodyBudget *MemoryBudget
-	Log        func(event string, keyvals ...any)
+	// ResponseBudget limits the memory for responses that clients have not read yet. If nil, there is no limit.
+	ResponseBudget *ResponseBudget
+	Log            func(event string, keyvals ...any)
 	// ShouldLogRefusal limits the log lines for refusals because of overload. If nil, all are
 	// logged.
 	ShouldLogRefusal func() bool
@@ -116,9 +118,16 @@
 // Active returns the number of requests being served.
 func (r *Relayer) Active() int64 { return r.active.Load() }
 
-// Load returns the number of requests being served, without those whose bodies have not arrived for a while. A client
-// could otherwise keep others out by not sending its bodies.
-func (r *Relayer) Load() int64 { return max(0, r.active.Load()-r.BodyBudget.Stalled(time.Now())) }
+// Load returns the number of requests being served, without those whose bodies have not arrived for a while, or whose
+// clients do not read the response. A client could otherwise keep others out by doing nothing.
+func (r *Relayer) Load() int64 {
+	now := time.Now()
+	load := r.active.Load() - r.BodyBudget.Stalled(now)
+	if r.ResponseBudget != nil {
+		load -= r.ResponseBudget.Stalled(now)
+	}
+	return max(0, load)
+}
 
 // exchange is the state of one request while it is served.
 type exchange struct {
@@ -130,6 +139,8 @@
 	call   Call
 	config Config
 	body   []byte
+	// bodyBytes are reserved for the body in the part of the workspace.
+	bodyBytes int64
 	// bodyRead is true once the body was read, or its reading has failed.
 	bodyRead bool
 	// identity is what the request asks for.
@@ -137,6 +148,10 @@
 	// testsVerdict is true if the request tests whether a part of it, or the whole, still crashes servers.
 	testsVerdict bool
 
+	// heldBytes are reserved for the response, and cutOff is set once its client has lost the connection because it
+	// reads too slowly.
+	heldBytes int64
+	cutOff    atomic.Bool
 	// wroteHeader is true if the response header was written to the caller.
 	wroteHeader bool
 	// mayHaveRun is true if a failed attempt may have run the request.
@@ -167,6 +182,10 @@
 	defer r.active.Add(-1)
 	x := &exchange{Relayer: r, w: w, req: req, respCtl: http.NewResponseController(w)}
 	x.call.Arrived = time.Now()
+	if r.ResponseBudget != nil {
+		x.w = &heldWriter{ResponseWriter: w, x: x}
+		defer x.releaseResponse()
+	}
 	if shutdownStart, _ := r.Shutdown(); !shutdownStart.IsZero() {
 		w.Header().Set("Connection", "close")
 	}
@@ -176,6 +195,9 @@
 
 // finish logs and observes the request. It aborts the connection if the response is incomplete.
 func (x *exchange) finish() {
+	if x.bodyBytes > 0 {
+		x.BodyBudget.releaseWorkspace(x.admittedWorkspace, x.bodyBytes)
+	}
 	if x.admitted {
 		// recheckConfig may have changed the call's workspace since the request was admitted.
 		x.RequestDone(x.admittedWorkspace)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -63,8 +63,10 @@
 	maxInformational = 16
 	// maxUnrelatedBytes limits the body of a skipped response.
 	maxUnrelatedBytes = 64 << 10
-	// maxPooledBufferBytes limits the write buffers that are kept for reuse. Few prompts are
-	// longer.
+	// maxCopiedBodyBytes is the largest body that is copied behind the header, for one packet. A server that
+	// reads slowly would otherwise hold a longer body twice.
+	maxCopiedBodyBytes = 16 << 10
+	// maxPooledBufferBytes limits the write buffers that are kept for reuse. Headers are shorter.
 	maxPooledBufferBytes = 64 << 10
 	// maxHeaderBytes limits a response header.
 	maxHeaderBytes = 64 << 10
@@ -318,6 +320,12 @@
 		writeHeader(buf, "Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	buf.WriteString("\r\n")
+	if len(r.Body) > maxCopiedBodyBytes {
+		parts := net.Buffers{buf.Bytes(), r.Body}
+		n, err := parts.WriteTo(c.Conn)
+		c.wroteAny = n > 0 || err == nil
+		return err
+	}
 	buf.Write(r.Body)
 	n, err := c.Conn.Write(buf.Bytes())
 	// A failed write may have sent part of the request.
