--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -29,6 +29,7 @@
 	"papayapaddle/internal/quarantiner"
 	"papayapaddle/internal/recorder"
 	"papayapaddle/internal/relayer"
+	"papayapaddle/internal/screener"
 	"papayapaddle/internal/sender"
 	"papayapaddle/internal/timer"
 	"papayapaddle/internal/watcher"
@@ -73,6 +74,9 @@
 	// limit of the Go runtime, and bodyMemoryFraction the fraction for request bodies.
 	softMemoryLimitFraction = 0.75
 	bodyMemoryFraction      = 0.25
+	// responseMemoryFraction is the fraction of the memory for responses that are longer than the limit of concurrent requests
+	// covers.
+	responseMemoryFraction = 1.0 / 8
 	// usageDecayFraction is the time constant of the exponential decay of workspace usage, as
 	// a fraction of the window over which fair shares are measured.
 	usageDecayFraction = 0.5
@@ -126,7 +130,10 @@
 	metrics    *metricSet
 	limiter    *concurrencyLimiter
 	refusalLog refusalLogLimiter
-	gcTuner    *gcTuner
+	// screener bounds the memory for unfinished requests, and screenLog the log lines about them.
+	screener  *screener.Screener
+	screenLog refusalLogLimiter
+	gcTuner   *gcTuner
 	// readiness takes an overloaded router out of the load balancer's rotation.
 	readiness  readinessGate
 	retryAfter retryAfterEstimator
@@ -200,7 +207,8 @@
 	n.logger = log.With(log.NewLogfmtLogger(rec), "router", s.Name)
 	n.evacuations.now, n.evacuations.log = timer.SinceBoot, n.log
 	n.evacuations.onChange, n.evacuations.tell = n.handleEvacuationChanges, n.tellNeighbors
-	n.limiter = newConcurrencyLimiter(s.Limits, func() int64 { return n.relayer.Active() })
+	n.limiter = newConcurrencyLimiter(s.Limits, func() int64 { return n.relayer.Load() })
+	n.screener = n.newScreener()
 	n.membership = messenger.NewMembership(n.self, minFailureTimeout, timer.SinceBoot)
 	n.gcTuner = newGCTuner()
 	n.aborted, n.abort = context.WithCancel(context.Background())
@@ -259,7 +267,8 @@
 }
 
 func newSender(n *node) *sender.Sender {
-	return &sender.Sender{Dial: linker.NewKeepAliveDialer(serverConnSilenceTimeout), OnConnect: n.metrics.countServerConn}
+	dial := linker.WithBuffers(linker.NewKeepAliveDialer(serverConnSilenceTimeout), serverBufferBytes(n.settings.Limits))
+	return &sender.Sender{Dial: dial, OnConnect: n.metrics.countServerConn}
 }
 
 func newRelayer(
@@ -287,7 +296,10 @@
 		HijackAndRefuse: n.refuseKeepAlive, RetryAfter: n.retryAfter.randomDelay,
 		Withdrawn:  func() bool { return n.readiness.isOutOfRotation(time.Now()) },
 		BodyBudget: &relayer.MemoryBudget{MaxBytes: int64(float64(n.settings.Limits.MemoryMB<<20) * bodyMemoryFraction)},
-		Log:        n.log, ShouldLogRefusal: n.refusalLog.allow, Observe: n.metrics.recordRequest,
+		ResponseBudget: &relayer.ResponseBudget{
+			MaxBytes: int64(float64(n.settings.Limits.MemoryMB<<20) * responseMemoryFraction), OnCut: func() { n.metrics.increment("slow-readers-cut") },
+		},
+		Log: n.log, ShouldLogRefusal: n.refusalLog.allow, Observe: n.metrics.recordRequest,
 	}
 }
 
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -114,9 +114,9 @@
 		n.metrics.write(w)
 		zones, running := n.evacuationGauges()
 		fmt.Fprintf(w, "evacuated-zones %d\nevacuation-running %d\n", zones, running)
-		fmt.Fprintf(w, "active-requests %d\nbody-bytes %d\nrouters-reachable %d\nlag-ms %d\nservers-cold %d\n",
-			n.relayer.Active(), n.relayer.BodyBudget.UsedBytes(), len(n.membership.Reachable()), time.Duration(n.limiter.lag.Load()).Milliseconds(),
-			len(n.coldMillis()))
+		fmt.Fprintf(w, "active-requests %d\nbody-bytes %d\nunfinished-bytes %d\nresponse-bytes %d\nrouters-reachable %d\nlag-ms %d\nservers-cold %d\n",
+			n.relayer.Active(), n.relayer.BodyBudget.UsedBytes(), n.screener.UsedBytes(), n.relayer.ResponseBudget.UsedBytes(),
+			len(n.membership.Reachable()), time.Duration(n.limiter.lag.Load()).Milliseconds(), len(n.coldMillis()))
 	})
 	r.HandleFunc("/state", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -6,8 +6,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -74,7 +72,9 @@
 	Withdrawn func() bool
 	// BodyBudget limits the memory for request bodies.
 	BodyBudget *MemoryBudget
-	Log        func(event string, keyvals ...any)
+	// ResponseBudget limits the memory for responses that clients have not read yet. If nil, there is no limit.
+	ResponseBudget *ResponseBudget
+	Log            func(event string, keyvals ...any)
 	// ShouldLogRefusal limits the log lines for refusals because of overload. If nil, all are
 	// logged.
 	ShouldLogRefusal func() bool
@@ -118,6 +118,17 @@
 // Active returns the number of requests being served.
 func (r *Relayer) Active() int64 { return r.active.Load() }
 
+// Load returns the number of requests being served, without those whose bodies have not arrived for a while, or whose
+// clients do not read the response. A client could otherwise keep others out by doing nothing.
+func (r *Relayer) Load() int64 {
+	now := time.Now()
+	load := r.active.Load() - r.BodyBudget.Stalled(now)
+	if r.ResponseBudget != nil {
+		load -= r.ResponseBudget.Stalled(now)
+	}
+	return max(0, load)
+}
+
 // exchange is the state of one request while it is served.
 type exchange struct {
 	*Relayer
@@ -128,11 +139,19 @@
 	call   Call
 	config Config
 	body   []byte
+	// bodyBytes are reserved for the body in the part of the workspace.
+	bodyBytes int64
+	// bodyRead is true once the body was read, or its reading has failed.
+	bodyRead bool
 	// identity is what the request asks for.
 	identity quarantiner.Request
 	// testsVerdict is true if the request tests whether a part of it, or the whole, still crashes servers.
 	testsVerdict bool
 
+	// heldBytes are reserved for the response, and cutOff is set once its client has lost the connection because it
+	// reads too slowly.
+	heldBytes int64
+	cutOff    atomic.Bool
 	// wroteHeader is true if the response header was written to the caller.
 	wroteHeader bool
 	// mayHaveRun is true if a failed attempt may have run the request.
@@ -163,6 +182,10 @@
 	defer r.active.Add(-1)
 	x := &exchange{Relayer: r, w: w, req: req, respCtl: http.NewResponseController(w)}
 	x.call.Arrived = time.Now()
+	if r.ResponseBudget != nil {
+		x.w = &heldWriter{ResponseWriter: w, x: x}
+		defer x.releaseResponse()
+	}
 	if shutdownStart, _ := r.Shutdown(); !shutdownStart.IsZero() {
 		w.Header().Set("Connection", "close")
 	}
@@ -172,6 +195,9 @@
 
 // finish logs and observes the request. It aborts the connection if the response is incomplete.
 func (x *exchange) finish() {
+	if x.bodyBytes > 0 {
+		x.BodyBudget.releaseWorkspace(x.admittedWorkspace, x.bodyBytes)
+	}
 	if x.admitted {
 		// recheckConfig may have changed the call's workspace since the request was admitted.
 		x.RequestDone(x.admittedWorkspace)
@@ -318,58 +344,34 @@
 		x.refuse(reasonShuttingDown, RetryElsewhereDelay)
 		return false
 	}
-	if reason := x.Admit(x.call.Route.Kind, x.call.Workspace, x.active.Load()); reason != "" {
-		// Closing the connection helps only if a new one reaches another router, that is, if
-		// this one is withdrawn. Otherwise the connection stays open, as accepting a new one
-		// costs more than this refusal.
-		if x.Withdrawn != nil && x.Withdrawn() {
-			x.w.Header().Set("Connection", "close")
-		}
-		x.refusedForOverload = true
-		retryAfter := RetryElsewhereDelay
-		if x.RetryAfter != nil {
-			retryAfter = x.RetryAfter(x.call.CallerTimeout)
-		}
-		if !x.hijackAndRefuse(reason, retryAfter) {
-			x.refuse(reason, retryAfter)
-		}
+	if reason := x.Admit(x.call.Route.Kind, x.call.Workspace, x.Load()); reason != "" {
+		x.refuseOverload(reason)
 		return false
 	}
 	x.admitted, x.admittedWorkspace = true, x.call.Workspace
 	return true
 }
 
-// defaultTimeout applies if neither the caller nor the route sets a timeout.
-const defaultTimeout = 15 * time.Second
-
-// readRequestBody buffers the request body. It returns false if it responded to the request
-// instead.
-func (x *exchange) readRequestBody() bool {
-	limit := int64(defaultMaxBodyBytes)
-	if n := x.config.Catalog.Limits.MaxBodyBytes; n > 0 {
-		limit = int64(n)
-	}
-	if x.req.ContentLength > limit {
-		x.reject(http.StatusRequestEntityTooLarge, "body-too-large")
-		return false
+// refuseOverload refuses the request because of overload. Closing the connection helps only if a new one reaches
+// another router, that is, if this one is withdrawn. Otherwise the connection stays open, as accepting a new one costs
+// more than this refusal.
+func (x *exchange) refuseOverload(reason string) {
+	if x.Withdrawn != nil && x.Withdrawn() {
+		x.w.Header().Set("Connection", "close")
 	}
-	body, err := x.BodyBudget.ReadAll(x.req.Body, x.req.ContentLength, limit)
-	switch {
-	case err == nil:
-		x.body = body
-		return true
-	case errors.Is(err, errTooLarge):
-		x.reject(http.StatusRequestEntityTooLarge, "body-too-large")
-	case errors.Is(err, errNoMemory):
-		x.refuse("no-memory", retrySoonDelay)
-	case errors.Is(err, io.ErrUnexpectedEOF) || x.req.Context().Err() != nil:
-		x.setOutcome(outcomeCallerGone, statusClientClosedRequest)
-	default:
-		x.reject(http.StatusBadRequest, "body-broken")
+	x.refusedForOverload = true
+	retryAfter := RetryElsewhereDelay
+	if x.RetryAfter != nil {
+		retryAfter = x.RetryAfter(x.call.CallerTimeout)
+	}
+	if !x.hijackAndRefuse(reason, retryAfter) {
+		x.refuse(reason, retryAfter)
 	}
-	return false
 }
 
+// defaultTimeout applies if neither the caller nor the route sets a timeout.
+const defaultTimeout = 15 * time.Second
+
 func (x *exchange) setOutcome(outcome string, status int) { x.outcome, x.status = outcome, status }
 
 // reject responds to an invalid or unauthorized request.
@@ -414,6 +416,8 @@
 		return
 	}
 	x.setOutcome(outcome, status)
+	x.discardBody()
+	x.extendWriteDeadline()
 	h := x.w.Header()
 	x.Codec.EncodeRefusal(h, x.call.ID, retryAfter)
 	h.Set("Content-Length", "0")
