relayer: hedge late requests that may be repeated

Cause: a request whose server is slow but not silent waits for it although another server could answer at once. Streams use the search, the offers and the take-over of standbys; plain idempotent requests get the same race for the buffered answer (buffered_attempt.go). The part of serveBuffered that runs and settles an attempt moved there unchanged. Hedges leave half of the retry budget to retries, prove the configuration again, and are refused for suspects of crashes, in a shutdown, without room, and beyond the limit of work. A canceled attempt of a plain request says nothing of its server but a lower bound of its time. Metrics and log lines for all of it.

--- a/internal/admitter/request.go
+++ b/internal/admitter/request.go
@@ -72,8 +72,11 @@
 }
 
 // weightedTokens returns the tokens that the request adds to its workspace's usage.
-func (r *Request) weightedTokens() float64 {
-	return float64(r.Prompt) + answerTokenWeight*float64(r.Answer)
+func (r *Request) weightedTokens() float64 { return WeightedTokens(r.Prompt, r.Answer) }
+
+// WeightedTokens returns the work of a request with a prompt and an expected answer of these lengths.
+func WeightedTokens(promptTokens, answerTokens int) float64 {
+	return float64(promptTokens) + answerTokenWeight*float64(answerTokens)
 }
 
 // Reason is the reason of a refusal.
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -128,6 +128,26 @@
 	}
 }
 
+// RequestCanceled ends a request to a server that Pick returned and which was canceled after some time, as another
+// attempt went on. That shows nothing but a lower bound of its latency.
+func (b *Balancer) RequestCanceled(server string, after time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state := b.getOrCreateServer(server)
+	state.inFlight = max(0, state.inFlight-1)
+	if after > state.latency {
+		state.latency += time.Duration(latencySmoothing * float64(after-state.latency))
+	}
+}
+
+// IsAvoided reports whether Pick returns a server only if no other is left.
+func (b *Balancer) IsAvoided(now time.Time, server string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state := b.servers[server]
+	return state != nil && (now.Before(state.avoidedUntil) || state.consecutiveFailures >= maxConsecutiveFailures)
+}
+
 // RetainServers removes the state of servers that are not in the given map and have no
 // requests in flight.
 func (b *Balancer) RetainServers(servers map[string]*cataloger.Server) {
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -108,14 +108,28 @@
 	return b.hasBudget(b.window(now, service))
 }
 
+// hedgeFraction is the part of the budget up to which hedges may use it. The rest is for requests that would
+// otherwise fail.
+const hedgeFraction = 0.5
+
+// MayHedge reports whether a retry would leave a part of the budget to others. It counts nothing.
+func (b *Budgeter) MayHedge(now time.Time, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hasBudgetWithin(b.window(now, service), hedgeFraction)
+}
+
 // hasBudget reports whether a retry is left in a window.
-func (b *Budgeter) hasBudget(w *window) bool {
+func (b *Budgeter) hasBudget(w *window) bool { return b.hasBudgetWithin(w, 1) }
+
+// hasBudgetWithin reports whether a retry is left in a fraction of a window's budget.
+func (b *Budgeter) hasBudgetWithin(w *window, fraction float64) bool {
 	requests, retries := 0.0, 0.0
 	for i := range bucketCount {
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	allowed := usableBudgetFraction *
+	allowed := fraction * usableBudgetFraction *
 		(b.Budget.Ratio*requests + b.Budget.Slack/float64(max(1, b.routerCount)))
 	return retries+1 <= allowed
 }
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -67,3 +67,23 @@
 	c.Assert(b.AllowRetry(now, "b"), qt.IsTrue)
 	c.Assert(b.AllowRetry(now.Add(1100*time.Millisecond), "a"), qt.IsTrue)
 }
+
+// Guards against hedges that spend the whole budget, so that a request whose server ends is not retried.
+func TestHedgesLeaveBudgetToRetries(t *testing.T) {
+	c := qt.New(t)
+	b := &Budgeter{Budget: testBudget}
+	now := time.Unix(0, 0)
+	for range 1000 {
+		b.RecordRequest(now, "s")
+	}
+	hedges := 0
+	for b.MayHedge(now, "s") && b.AllowRetry(now, "s") {
+		hedges++
+	}
+	retries := 0
+	for b.AllowRetry(now, "s") {
+		retries++
+	}
+	c.Assert(hedges, qt.Equals, 87)
+	c.Assert(retries, qt.Equals, 88)
+}
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -28,6 +29,11 @@
 			". SIGTERM shuts down gracefully; SIGHUP reloads the settings.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of this router (JSON)", Sources: cli.EnvVars(platform.SettingsVariable)},
+			&cli.StringFlag{
+				Name: "hedge-percent", Sources: cli.EnvVars(hedgePercentVariable),
+				Usage: "send a request that may be repeated to a second server when its answer is late, for at most this " +
+					"`PERCENT` of the work of its service; 0 or empty: never",
+			},
 		},
 		OnUsageError: usageError,
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -35,15 +41,36 @@
 			if path == "" {
 				return fmt.Errorf("no settings: use --settings FILE or set %s", platform.SettingsVariable)
 			}
+			hedgePercent, err := parseHedgePercent(c.String("hedge-percent"))
+			if err != nil {
+				return err
+			}
 			settings, err := platform.LoadSettings(path)
 			if err != nil {
 				return err
 			}
+			settings.HedgePercent = hedgePercent
 			return runPlatformRouter(ctx, settings, path, out)
 		},
 	}
 }
 
+// hedgePercentVariable is the environment variable for --hedge-percent.
+const hedgePercentVariable = "PAPAYAPADDLE_HEDGE_PERCENT"
+
+// parseHedgePercent returns the limit of the extra work of hedges. Empty text means 0.
+func parseHedgePercent(text string) (float64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	percent, err := strconv.ParseFloat(text, 64)
+	// The comparison is false for NaN.
+	if err != nil || !(percent >= 0 && percent <= 100) {
+		return 0, fmt.Errorf("--hedge-percent or %s: %q is no number from 0 to 100", hedgePercentVariable, text)
+	}
+	return percent, nil
+}
+
 func runPlatformRouter(ctx context.Context, settings platform.Settings, path string, out io.Writer) error {
 	router := conductor.New(settings, out)
 	if err := router.Err(); err != nil {
@@ -67,6 +94,7 @@
 				fmt.Fprintln(out, "event=reload-failed err="+fmt.Sprintf("%q", err))
 				continue
 			}
+			newSettings.HedgePercent = settings.HedgePercent
 			router.Reload(newSettings)
 		case <-ctx.Done():
 			stopCtx, cancel := context.WithTimeout(context.Background(), settings.Bounds.GracePeriod()+stopTimeoutMargin)
--- a/internal/conductor/assignment.go
+++ b/internal/conductor/assignment.go
@@ -30,6 +30,9 @@
 // grants, or a server of a plain service, which this router picks by itself. If the server
 // started to drain or asked for a pause while the call waited, it is excluded and another one is assigned.
 func (n *node) assignServer(ctx context.Context, c *relayer.Call) (*relayer.Assignment, *relayer.Refusal) {
+	if c.Hedge {
+		n.excludeFromHedge(c)
+	}
 	for {
 		assignment, r := n.tryAssignServer(ctx, c)
 		if r != nil || n.watcher.Usable(assignment.Server) && !n.isExcluded(assignment.Server) {
@@ -53,6 +56,9 @@
 		return nil, &relayer.Refusal{Reason: "servers-unknown", RetryAfter: noServerRetryAfter}
 	}
 	servers, _ := n.withoutExcluded(set.ByService[c.Service.Name])
+	if c.Hedge {
+		servers = n.withoutAvoided(servers)
+	}
 	return n.pickPlainServer(ctx, c, servers)
 }
 
@@ -96,6 +102,10 @@
 	return &relayer.Assignment{
 		Server: s, ReportFirstEvent: func() { silent.Store(false) }, ReportSilence: func() { silent.Store(true) },
 		Release: func(result relayer.AttemptResult) {
+			if result.Inconclusive && n.hedging != nil {
+				n.balancer.RequestCanceled(s.ID, result.Duration)
+				return
+			}
 			n.balancer.RequestDone(time.Now(), s.ID, result.Failed || silent.Load(), result.Refused, result.Duration)
 		},
 	}
@@ -155,13 +165,6 @@
 			shared += p.Tokens
 		}
 	}
-	answer := c.AnswerLengthHint
-	if answer == 0 {
-		answer = defaultAnswerTokens
-	}
-	if c.MaxAnswerTokens > 0 {
-		answer = min(answer, c.MaxAnswerTokens)
-	}
 	home := c.ID
 	switch n := len(names); {
 	case n > 1:
@@ -171,13 +174,25 @@
 	}
 	return &allocator.SlotRequest{
 		Workspace: c.Workspace, Service: c.Service,
-		PromptTokens: c.PromptTokens, PromptParts: admitter.HashParts(c.Model, names, tokens), AnswerTokens: answer,
+		PromptTokens: c.PromptTokens, PromptParts: admitter.HashParts(c.Model, names, tokens), AnswerTokens: answerTokens(c),
 		SharedPrefix: steerer.SharedPrefix{Home: home, Shared: shared},
 		Arrived:      c.Arrived, FirstEventBy: firstEventDeadline(c, time.Now()), Deadline: c.Deadline, ExcludedServers: c.ExcludedServers,
 		Resumed: c.Resumed, Standby: c.Standby,
 	}
 }
 
+// answerTokens returns the expected number of tokens of a call's answer.
+func answerTokens(c *relayer.Call) int {
+	answer := c.AnswerLengthHint
+	if answer == 0 {
+		answer = defaultAnswerTokens
+	}
+	if c.MaxAnswerTokens > 0 {
+		answer = min(answer, c.MaxAnswerTokens)
+	}
+	return answer
+}
+
 // firstEventDeadline returns when the first event of a call is due. A call that is retried may
 // already be late; it gets at least half of the time of a new call.
 func firstEventDeadline(c *relayer.Call, now time.Time) time.Time {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -23,6 +23,7 @@
 	"papayapaddle/internal/cataloger"
 	"papayapaddle/internal/excluder"
 	"papayapaddle/internal/failer"
+	"papayapaddle/internal/hedger"
 	"papayapaddle/internal/linker"
 	"papayapaddle/internal/messenger"
 	"papayapaddle/internal/pacer"
@@ -117,7 +118,9 @@
 	// excluder holds the servers that told this router to send them nothing.
 	excluder excluder.Excluder
 	// limits holds the rates that servers name in their answers.
-	limits     pacer.Limits
+	limits pacer.Limits
+	// hedging is nil if the operators have not turned it on.
+	hedging    *hedging
 	metrics    *metricSet
 	limiter    *concurrencyLimiter
 	refusalLog refusalLogLimiter
@@ -192,6 +195,9 @@
 			Incarnation: uint64(time.Now().UnixMilli())<<16 | uint64(binary.LittleEndian.Uint16(b[:])),
 		},
 	}
+	if s.HedgePercent > 0 {
+		n.hedging = &hedging{hedger: hedger.Hedger{Percent: s.HedgePercent}}
+	}
 	n.logger = log.With(log.NewLogfmtLogger(rec), "router", s.Name)
 	n.limiter = newConcurrencyLimiter(s.Limits, func() int64 { return n.relayer.Active() })
 	n.membership = messenger.NewMembership(n.self, minFailureTimeout, timer.SinceBoot)
@@ -274,6 +280,7 @@
 		CheckAdmission:  n.limiter.checkAdmission,
 		RequestDone:     n.limiter.release,
 		HijackAndRefuse: n.refuseKeepAlive, RetryAfter: n.retryAfter.randomDelay,
+		Hedging:    n.newHedging(b),
 		Withdrawn:  func() bool { return n.readiness.isOutOfRotation(time.Now()) },
 		BodyBudget: &relayer.MemoryBudget{MaxBytes: int64(float64(n.settings.Limits.MemoryMB<<20) * bodyMemoryFraction)},
 		Log:        n.log, ShouldLogRefusal: n.refusalLog.allow, Observe: n.metrics.recordRequest,
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -108,6 +108,7 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.write(w)
+		n.writeHedgeMetrics(w)
 		fmt.Fprintf(w, "active-requests %d\nbody-bytes %d\nrouters-reachable %d\nlag-ms %d\n",
 			n.relayer.Active(), n.relayer.BodyBudget.UsedBytes(), len(n.membership.Reachable()), time.Duration(n.limiter.lag.Load()).Milliseconds())
 	})
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -55,6 +55,7 @@
 		case x.isAborted():
 			x.refuse(reasonShuttingDown, RetryElsewhereDelay)
 		default:
+			x.reportShortage()
 			x.refuse(refusal.Reason, refusal.RetryAfter)
 		}
 		return nil, false
@@ -130,6 +131,9 @@
 		x.OnServerReplaced(server)
 		return &attemptFailure{notRun: true, sent: true, reason: "another-server"}
 	case info.NotRun:
+		if !info.Leaving {
+			x.reportShortage()
+		}
 		return &attemptFailure{notRun: true, sent: true, reason: "server-refused"}
 	case impliesNotRun(resp.Status):
 		// Callers would conclude that the request has not run, which the server did not say.
@@ -193,51 +197,29 @@
 
 // serveBuffered serves a request whose response is forwarded once it is complete.
 func (x *exchange) serveBuffered(ctx context.Context) {
-	defer func() { x.BodyBudget.Release(x.body) }()
+	defer func() {
+		x.race.end()
+		x.BodyBudget.Release(x.body)
+	}()
 	for {
 		assignment, ok := x.assignServer(ctx)
 		if !ok {
 			return
 		}
-		start, server := time.Now(), assignment.Server
-		out, sentAt := x.newRequest(server, "")
-		x.serverID = server.ID
-		resp, failure := x.sendRequest(ctx, server, out)
-		if failure == nil || failure.sent {
-			x.sentAttempts++
-		}
-		var body []byte
-		if failure == nil {
-			body, failure = x.bufferBody(resp)
-		}
-		if failure == nil && x.endedWithServer(ctx, server, resp) {
-			failure = &attemptFailure{sent: true, connectionBroke: true, reason: "answer-cut", err: errServerEnded}
-		}
-		x.reportEvidence(ctx, server, sentAt, resp, failure, failure == nil)
+		a := x.runBuffered(ctx, assignment)
+		resp, failure := a.resp, a.failure
+		x.reportEvidence(a.ctx, a.server, a.sentAt, resp, failure, failure == nil)
 		final := failure == nil &&
 			(resp.Status < http.StatusInternalServerError || !x.mayRetry(ctx, &attemptFailure{sent: true}))
-		if failure == nil && !final {
-			x.keepServerError(resp, body)
-		}
-		if resp != nil && !final {
-			resp.Close(drain(resp))
-		}
-		failed := failure != nil && !failure.notRun || failure == nil && resp.Status >= http.StatusInternalServerError
-		assignment.Release(AttemptResult{
-			Failed:   failed && x.req.Context().Err() == nil && !x.isAborted(),
-			Refused:  failure != nil && failure.notRun && failure.sent,
-			Duration: time.Since(start),
-		})
+		x.settleBuffered(a, final)
 		if final {
-			resp.Close(x.forwardResponse(resp, body))
+			resp.Close(x.forwardResponse(resp, a.body))
 			return
 		}
 		if failure == nil {
 			// The server responded with an error, and the request may be retried.
 			continue
 		}
-		x.Log("attempt-failed", "request", x.call.ID, "server", x.serverID,
-			"reason", failure.reason, "not-run", failure.notRun, "err", failure.err)
 		if !x.mayRetry(ctx, failure) {
 			x.failRequest(ctx, failure)
 			return
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -74,7 +74,9 @@
 	Withdrawn func() bool
 	// BodyBudget limits the memory for request bodies.
 	BodyBudget *MemoryBudget
-	Log        func(event string, keyvals ...any)
+	// Hedging starts second attempts of requests whose answer is late. If nil, there are none.
+	Hedging *Hedging
+	Log     func(event string, keyvals ...any)
 	// ShouldLogRefusal limits the log lines for refusals because of overload. If nil, all are
 	// logged.
 	ShouldLogRefusal func() bool
@@ -155,6 +157,12 @@
 	// refusedForOverload is true if the router refused the request because of overload.
 	refusedForOverload bool
 	refusalReason      string
+
+	// hedge and race are nil for requests that are not hedged. workCounted is true once the hedger knows the work
+	// of the request.
+	hedge       *hedge
+	race        *bufferedRace
+	workCounted bool
 }
 
 // ServeHTTP serves one request.
@@ -326,6 +334,7 @@
 			x.w.Header().Set("Connection", "close")
 		}
 		x.refusedForOverload = true
+		x.reportShortage()
 		retryAfter := RetryElsewhereDelay
 		if x.RetryAfter != nil {
 			retryAfter = x.RetryAfter(x.call.CallerTimeout)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -436,6 +436,8 @@
 		tr.shutdownAge = time.Duration(ms) * time.Millisecond
 	case "call":
 		return tr.call(d, t)
+	case "hedging", "hedges":
+		return tr.runHedgeCommand(d, t)
 	default:
 		t.Fatalf("unknown command %s", d.Cmd)
 	}
--- a/internal/relayer/standby.go
+++ b/internal/relayer/standby.go
@@ -17,6 +17,8 @@
 type standbySearch struct {
 	offers chan standbyOffer
 	cancel context.CancelFunc
+	// hedge is true if the search is for a hedge.
+	hedge bool
 }
 
 // standbyOffer is the result of a search: an assignment or a refusal.
@@ -25,6 +27,13 @@
 	refusal    *Refusal
 }
 
+// giveBack releases the offered slot, if there is one.
+func (o standbyOffer) giveBack() {
+	if o.assignment != nil {
+		o.assignment.Release(AttemptResult{Inconclusive: true})
+	}
+}
+
 // stop ends the search, if there is one.
 func (b *standbySearch) stop() {
 	if b.cancel != nil {
@@ -52,6 +61,37 @@
 	})
 }
 
+// handleWatch seeks a hedge when one is due, and handles silence later.
+func (s *streamState) handleWatch(ctx context.Context) {
+	h := s.x.hedge
+	if !h.armed() {
+		s.handleSilence(ctx)
+		return
+	}
+	s.watchUntil(s.silenceAt())
+	if len(s.attempts) == 1 && s.attempts[0].failure == nil && s.standby.offers == nil && h.take() {
+		s.standby = s.x.seekHedge(ctx)
+	}
+	h.disarm()
+}
+
+// silenceAt returns when the server of a running attempt counts as silent next.
+func (s *streamState) silenceAt() time.Time {
+	var next time.Time
+	for _, a := range s.attempts {
+		if a.silent || a.failure != nil {
+			continue
+		}
+		if t := a.lastEventAt.Add(s.eventTimeout(a)); next.IsZero() || t.Before(next) {
+			next = t
+		}
+	}
+	if next.IsZero() {
+		next = time.Now().Add(standbyRetryInterval)
+	}
+	return next
+}
+
 // handleSilence reports the attempts that have become silent, and seeks a standby.
 func (s *streamState) handleSilence(ctx context.Context) {
 	x, now := s.x, time.Now()
@@ -93,30 +133,44 @@
 func (s *streamState) seekStandby(ctx context.Context) {
 	x := s.x
 	call := x.call
-	call.ExcludedServers = slices.Clone(call.ExcludedServers)
 	// A stream that has begun waits for a slot as if it were interrupted. One that has not takes only a free slot at
 	// first: most servers that are merely at their limit go on soon, and a second prompt is more load on a full fleet.
 	call.Resumed, call.Standby = s.eventCount > 0, s.eventCount == 0 && s.searches == 0
 	s.searches++
+	s.standby = x.seekServer(ctx, call)
+}
+
+// seekServer asks for a server for a second attempt in the background.
+func (x *exchange) seekServer(ctx context.Context, call Call) standbySearch {
+	call.ExcludedServers = slices.Clone(call.ExcludedServers)
 	ctx, cancel := context.WithCancel(ctx)
 	offers := make(chan standbyOffer)
-	s.standby = standbySearch{offers: offers, cancel: cancel}
 	go func() {
 		assignment, refusal := x.AssignServer(ctx, &call)
+		offer := standbyOffer{assignment, refusal}
 		select {
-		case offers <- standbyOffer{assignment, refusal}:
+		case offers <- offer:
 		case <-ctx.Done():
-			if assignment != nil {
-				assignment.Release(AttemptResult{Inconclusive: true})
-			}
+			offer.giveBack()
 		}
 	}()
+	return standbySearch{offers: offers, cancel: cancel}
 }
 
 // handleOffer starts the standby if it is still allowed.
 func (s *streamState) handleOffer(ctx context.Context, offer standbyOffer) {
 	x := s.x
+	forHedge := s.standby.hedge
 	s.standby.stop()
+	if forHedge {
+		if !x.hedge.start(offer) {
+			offer.giveBack()
+			return
+		}
+		s.start(ctx, offer.assignment)
+		s.hedged = s.attempts[len(s.attempts)-1]
+		return
+	}
 	reason := ""
 	if offer.refusal != nil {
 		reason = offer.refusal.Reason
@@ -128,9 +182,7 @@
 		reason = "retry-budget"
 	}
 	if reason != "" {
-		if offer.assignment != nil {
-			offer.assignment.Release(AttemptResult{Inconclusive: true})
-		}
+		offer.giveBack()
 		x.Log("standby-refused", "request", x.call.ID, "server", s.leader.server.ID, "reason", reason,
 			"silent-ms", time.Since(s.leader.lastEventAt).Milliseconds())
 		return
--- a/internal/relayer/standby_property_test.go
+++ b/internal/relayer/standby_property_test.go
@@ -21,6 +21,8 @@
 	patience, leave, abort int
 	retries, attempts      int
 	slotWait, writeDelay   time.Duration
+	// hedge is true if requests without an event after a while are hedged.
+	hedge bool
 }
 
 const propertyEvents = 4
@@ -68,6 +70,7 @@
 		slotWait:   time.Duration(rapid.SampledFrom([]int{0, 0, 200, 600}).Draw(t, "slot wait")) * time.Millisecond,
 		writeDelay: time.Duration(rapid.SampledFrom([]int{0, 0, 100, 800, 2000}).Draw(t, "write delay")) * time.Millisecond,
 	}
+	c.hedge = rapid.Bool().Draw(t, "hedge")
 	for _, id := range []string{"s1", "s2", "s3"} {
 		c.scripts[id] = drawServer(t, id)
 	}
@@ -94,6 +97,9 @@
 		}
 		tr.catalog = newCatalog(t, catalog)
 		tr.retriesLeft, tr.slotWait = sc.retries, sc.slotWait
+		if sc.hedge {
+			tr.relayer.Hedging = &Hedging{Hedger: tr.newHedger(200, 10)}
+		}
 		tr.servers = []string{"s1", "s2", "s3"}
 		for id, script := range sc.scripts {
 			tr.backend.scripts[id] = []string{script}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -48,6 +48,8 @@
 	standby standbySearch
 	// searches counts the searches for a standby since the last event.
 	searches int
+	// first is the first attempt of the request, and hedged its hedge.
+	first, hedged *streamAttempt
 }
 
 var (
@@ -113,13 +115,23 @@
 		s.leader, x.serverID = a, a.server.ID
 	}
 	s.attempts = append(s.attempts, a)
-	s.watchUntil(a.startedAt.Add(s.eventTimeout(a)))
+	h := x.armHedge(a.server)
+	if h != nil {
+		s.first = a
+	}
+	if h.armed() && h.delay < s.eventTimeout(a) {
+		s.watchUntil(h.dueAt())
+	} else {
+		h.disarm()
+		s.watchUntil(s.silenceAt())
+	}
 	go a.run(x, s.updates)
 }
 
 // relay forwards the events of the running attempts. It returns nil when the request is finished, and the
 // last failure once all attempts have failed.
 func (s *streamState) relay(ctx context.Context) *attemptFailure {
+	x := s.x
 	var failure *attemptFailure
 	// idle is done if no attempt is left that the end of the context would end.
 	var idle <-chan struct{}
@@ -138,11 +150,13 @@
 			if failure = s.handleEnd(u); failure == nil {
 				return nil
 			}
-			if failure.mayCrashServers {
+			x.hedge.disarm()
+			// A request whose only attempt failed is retried instead of hedged.
+			if failure.mayCrashServers || s.standby.hedge {
 				s.standby.stop()
 			}
 		case <-s.silent:
-			s.handleSilence(ctx)
+			s.handleWatch(ctx)
 		case offer := <-s.standby.offers:
 			s.handleOffer(ctx, offer)
 		case <-idle:
@@ -226,6 +240,9 @@
 	if a.events == 0 || a.silent {
 		a.assignment.ReportFirstEvent()
 	}
+	if a == s.first {
+		x.hedge.recordFirst(false)
+	}
 	if a.silent {
 		a.silent = false
 		x.Log("server-went-on", "request", x.call.ID, "server", a.server.ID, "events", s.eventCount,
@@ -238,6 +255,8 @@
 // another one must not work on.
 func (s *streamState) lead(a *streamAttempt) {
 	s.standby.stop()
+	s.x.hedge.disarm()
+	s.x.hedge.recordAnswer(a == s.hedged, a.server)
 	if s.leader == a && len(s.attempts) == 1 {
 		return
 	}
@@ -266,6 +285,9 @@
 	case failure != nil:
 	case u.end.nonStream:
 		failure, complete = s.handleNonStream(u.end)
+		if h := x.hedge; failure == nil && h != nil && h.started {
+			h.recordAnswer(a == s.hedged, a.server)
+		}
 	default:
 		failure = s.finishStream(resp)
 		complete = failure == nil
@@ -342,6 +364,9 @@
 	x := s.x
 	wasSilent := time.Since(a.lastEventAt) >= s.eventTimeout(a)
 	failed, inconclusive := failure != nil && !failure.notRun, false
+	if a == s.first && failed && a.events == 0 && a.ctx.Err() != nil {
+		x.hedge.recordFirst(true)
+	}
 	switch {
 	case failed && x.req.Context().Err() != nil:
 		// If the caller disconnects, the server has failed only if it was silent from the start.
@@ -367,6 +392,8 @@
 	if s.watch != nil {
 		s.watch.stop()
 	}
+	x := s.x
+	defer func() { x.hedge.end() }()
 	for _, a := range s.attempts {
 		s.abandon(a, &attemptFailure{sent: true, reason: "finished", err: errFinished}, errFinished)
 	}
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -97,6 +97,8 @@
 	// Standby is true if the call is for a second attempt beside one whose server is silent, which needs a
 	// server that can start it now.
 	Standby bool
+	// Hedge is true if the second attempt is a hedge, so that the server of the first one does not count as silent.
+	Hedge bool
 }
 
 // Assignment permits one attempt of a call on a server.
