--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -119,12 +119,15 @@
 	if h != nil {
 		s.first = a
 	}
-	if h.armed() && h.delay < s.eventTimeout(a) {
-		s.watchUntil(h.dueAt())
-	} else {
-		h.disarm()
-		s.watchUntil(s.silenceAt())
+	next := a.startedAt.Add(s.eventTimeout(a))
+	switch {
+	case h.armed() && h.dueAt().Before(next):
+		next = h.dueAt()
+	case x.hedge != nil:
+		x.hedge.disarm()
+		next = s.silenceAt()
 	}
+	s.watchUntil(next)
 	go a.run(x, s.updates)
 }
 
