relayer: forward long server errors whole beside a hedge

Cause: a race drains a failed attempt's connection in the attempt's own goroutine. For a status of 500 and above with a body over maxBufferedBytes this discarded up to 4 KiB of the remainder that serveBuffered forwards if no retry is allowed, with or without a hedge; without a length the response looked complete. Change: only responses that are not forwarded, or that are read to their end, are drained. Result: TestLongServerErrorIsForwardedWhole failed before (278048 of 282144 bytes); go test -race ./internal/relayer passes.

--- a/internal/relayer/buffered_attempt.go
+++ b/internal/relayer/buffered_attempt.go
@@ -214,8 +214,9 @@
 			r.ended <- a
 		}()
 		a.run(r.x)
-		// The handler must not wait for this while the other attempt may have an answer.
-		a.drained = !a.answered() && a.resp != nil && drain(a.resp)
+		// The handler must not wait for this while the other attempt may have an answer. The remainder of a long error
+		// is left, as it may be forwarded.
+		a.drained = a.resp != nil && (a.failure != nil || len(a.body) <= maxBufferedBytes) && drain(a.resp)
 	}()
 }
 
--- a/internal/relayer/hedge_test.go
+++ b/internal/relayer/hedge_test.go
@@ -196,3 +196,23 @@
 		})
 	}
 }
+
+// Guards against a part that is missing from a long error response, as a race reads its remainder before it is forwarded.
+func TestLongServerErrorIsForwardedWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTestRelayer(t)
+		tr.servers, tr.retriesLeft = []string{"s1"}, 0
+		body := strings.Repeat("x", maxBufferedBytes+20_000)
+		tr.backend.scripts["s1"] = []string{fmt.Sprintf(`HTTP/1.1 500 Bad\r\nId: ID\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s`, len(body), body)}
+		tr.relayer.Hedging = &Hedging{Hedger: tr.newHedger(100, 10)}
+		req := httptest.NewRequest("POST", "http://h/read/1", strings.NewReader("x"))
+		req.Header.Set("Id", "q")
+		req.Header.Set("Key", "k")
+		w := httptest.NewRecorder()
+		serveHTTP(tr.relayer, w, req)
+		qt.Check(t, w.Body.Len(), qt.Equals, len(body))
+		close(tr.backend.stop)
+		tr.sender.RetainServers(nil)
+		synctest.Wait()
+	})
+}
