relayer: the end of a request during the search for a hedge is no shortage

Cause: when the caller left or the deadline passed while a server was sought, the refusal of that search counted as lack of room, or its slot as a started hedge which spent both budgets; which one, depended on the scheduler. Change: an offer that arrives after the end of the request is given back and counts nothing.

--- a/internal/relayer/buffered_attempt.go
+++ b/internal/relayer/buffered_attempt.go
@@ -155,7 +155,7 @@
 			}
 		case offer := <-search.offers:
 			search.stop()
-			if !r.hedge.start(offer) {
+			if !r.hedge.start(ctx, offer) {
 				offer.giveBack()
 				continue
 			}
--- a/internal/relayer/hedge.go
+++ b/internal/relayer/hedge.go
@@ -145,7 +145,11 @@
 }
 
 // start reports whether a hedge may be sent to the offered server, and counts it if so. It logs a refusal.
-func (h *hedge) start(offer standbyOffer) bool {
+func (h *hedge) start(ctx context.Context, offer standbyOffer) bool {
+	if ctx.Err() != nil {
+		// The end of the request ended the search, which shows nothing of the service.
+		return false
+	}
 	x, now, service := h.x, time.Now(), h.key.Service
 	reason := h.checkOffer(offer)
 	if reason == "" {
--- a/internal/relayer/standby.go
+++ b/internal/relayer/standby.go
@@ -163,7 +163,7 @@
 	forHedge := s.standby.hedge
 	s.standby.stop()
 	if forHedge {
-		if !x.hedge.start(offer) {
+		if !x.hedge.start(ctx, offer) {
 			offer.giveBack()
 			return
 		}
