relayer: count requests that are not hedged for their deadline or a shutdown

Cause: both were left out of the refusals by reason, and the reason for the deadline was declared but never used. Change: they are counted at the start of the request, like the other reasons known then.

--- a/internal/relayer/hedge.go
+++ b/internal/relayer/hedge.go
@@ -69,15 +69,17 @@
 	plan, reason := x.Hedging.Hedger.Plan(now, h.key, x.assignmentWait)
 	switch {
 	case reason != "":
+	case x.isShuttingDown():
+		reason = reasonShuttingDown
+	case now.Add(plan.Delay + plan.Typical).After(c.Deadline):
+		reason = reasonHedgeDeadline
+	}
+	if reason != "" {
 		// These are all requests of a service, late or not, so they have no log line.
 		x.Hedging.Hedger.RecordRefusal(now, c.Service.Name, reason)
-	case x.isShuttingDown():
-	default:
-		h.delay = plan.Delay
-		if now.Add(plan.Delay + plan.Typical).After(c.Deadline) {
-			h.delay = 0
-		}
+		return h
 	}
+	h.delay = plan.Delay
 	return h
 }
 
