relayer: shorter tests of hedges, and three cases that were missing

Scripts of plain answers and streams are arguments of their call; all expected outputs are the same. New cases: streams that their callers resume are not hedged, a hedge that loses the last retry to another request counts no work, and the overload of the router ends hedges.

--- a/internal/relayer/hedge_test.go
+++ b/internal/relayer/hedge_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -34,16 +35,18 @@
 
 // runHedgeCommand runs a command about hedges:
 //
-//	hedging [usual=MS] [percent=N] [never=ID] [short] [suspect] [spare=false]
+//	hedging [usual=MS] [percent=N] [never=ID] [short] [suspect] [spare=false] [taken]
 //	        starts hedges of answers that take longer than usual, forgets earlier ones and logs what is decided:
 //	        "seeks" is a call of AssignServer for a hedge, "inconclusive" is AttemptResult.Inconclusive.
-//	        Short of room, a suspect and a retry budget without a spare part prevent hedges.
-//	hedges  prints the counts of hedges since then
+//	        Short of room, a suspect and a retry budget without a spare part prevent hedges. Another request takes the
+//	        last retry of the budget if it is taken.
+//	hedges  prints the counts of hedges since then, and why none may start now
 func (tr *testRelayer) runHedgeCommand(d *datadriven.TestData, t *testing.T) string {
 	if d.Cmd == "hedges" {
-		c := tr.relayer.Hedging.Hedger.Reports(time.Now())[0].Counts
-		return fmt.Sprintf("started %d won %d lost %d refused%s work %v of %v, %d retries left\n", c.Started, c.Won, c.Lost,
-			strings.TrimPrefix(fmt.Sprint(c.Refused), "map"), c.HedgeWork, c.Work, tr.retriesLeft)
+		h := tr.relayer.Hedging.Hedger
+		c := h.Reports(time.Now())[0].Counts
+		return fmt.Sprintf("started %d won %d lost %d refused%s work %v of %v, %d retries left %s\n", c.Started, c.Won, c.Lost,
+			strings.TrimPrefix(fmt.Sprint(c.Refused), "map"), c.HedgeWork, c.Work, tr.retriesLeft, h.Check(time.Now(), "s", 1))
 	}
 	usual, percent, never, spare := 100, 10.0, "", true
 	d.MaybeScanArgs(t, "usual", &usual)
@@ -60,6 +63,9 @@
 		Hedger: h, MayUse: func(s *cataloger.Server) bool { return s.ID != never }, MayRetry: func(string) bool { return spare },
 	}
 	tr.relayer.Quarantine.IsSuspect = func(*cataloger.Server, quarantiner.Request) bool { return suspect }
+	if d.HasArg("taken") {
+		tr.relayer.AllowRetry = func(string) bool { return false }
+	}
 	tr.relayer.Log = func(event string, keyvals ...any) {
 		if strings.HasPrefix(event, "hedge-") {
 			keyvals = append(keyvals, "reason", "")
@@ -85,6 +91,41 @@
 	return ""
 }
 
+// addScripts adds the scripts of a call's arguments s1 and s2 in short form: (800,one) answers "one" after 800 ms,
+// (50,1:one,300,2:one) streams two events, and (300,close) and (hang) do what these commands do.
+func (tr *testRelayer) addScripts(d *datadriven.TestData) {
+	for _, a := range d.CmdArgs {
+		if a.Key != "s1" && a.Key != "s2" {
+			continue
+		}
+		var lines []string
+		streams := false
+		for _, v := range a.Vals {
+			_, err := strconv.Atoi(v)
+			id, text, isEvent := strings.Cut(v, ":")
+			switch {
+			case err == nil:
+				lines = append(lines, "@wait "+v)
+			case isEvent:
+				if !streams {
+					lines = append(lines, strings.TrimSuffix(streamHead, "\n"))
+				}
+				streams = true
+				event := fmt.Sprintf(`id: %s\n%s\n\n`, id, text)
+				lines = append(lines, fmt.Sprintf(`%x\r\n%s\r\n`, len(strings.ReplaceAll(event, `\n`, "n")), event))
+			case v == "close" || v == "hang":
+				lines = append(lines, "@"+v)
+			default:
+				lines = append(lines, fmt.Sprintf(`HTTP/1.1 200 OK\r\nId: ID\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s`, len(v), v))
+			}
+		}
+		if streams {
+			lines = append(lines, `0\r\n\r\n`)
+		}
+		tr.backend.scripts[a.Key] = append(tr.backend.scripts[a.Key], strings.Join(lines, "\n"))
+	}
+}
+
 // Guards against a plain request with a hedge that runs too often, gets an answer that is not whole, is mixed or is not the server's own,
 // outlasts its deadline, is refused although it may have run, or leaves a slot or memory behind.
 func TestHedgedRequestsGetOneAnswer(t *testing.T) {
@@ -169,50 +210,67 @@
 	return w.ResponseRecorder.Write(p)
 }
 
-// Guards against a server that works on for a loser while the answer is written to a slow caller.
-func TestLoserIsCanceledAtOnce(t *testing.T) {
-	for _, path := range []string{"/read/1", "/chat/1"} {
-		synctest.Test(t, func(t *testing.T) {
-			tr := newTestRelayer(t)
-			tr.servers = []string{"s1", "s2"}
-			tr.backend.scripts = map[string][]string{"s1": {"@hang"}, "s2": {signedResponse}}
-			if path == "/chat/1" {
-				tr.backend.scripts["s2"] = []string{streamHead + event1 + `0\r\n\r\n`}
-			}
-			tr.relayer.Hedging = &Hedging{Hedger: tr.newHedger(100, 10)}
-			start, canceled := time.Now(), make(chan time.Duration, 2)
-			tr.relayer.Send = func(ctx context.Context, r *sender.Request) (*sender.Response, error) {
-				context.AfterFunc(ctx, func() { canceled <- time.Since(start) })
-				return tr.sender.Send(ctx, r)
-			}
-			req := httptest.NewRequest("POST", "http://h"+path, strings.NewReader("x"))
-			req.Header.Set("Id", "q")
-			req.Header.Set("Key", "k")
-			serveHTTP(tr.relayer, sluggishCaller{httptest.NewRecorder()}, req)
-			qt.Check(t, <-canceled < 200*time.Millisecond, qt.IsTrue)
-			close(tr.backend.stop)
-			tr.sender.RetainServers(nil)
-			synctest.Wait()
-		})
-	}
-}
-
-// Guards against a part that is missing from a long error response, as a race reads its remainder before it is forwarded.
-func TestLongServerErrorIsForwardedWhole(t *testing.T) {
+// hedgedCall sends a request whose route permits maxAttempts. Answers after 100 ms are late.
+func hedgedCall(
+	t *testing.T, path string, maxAttempts int, scripts []string, change func(*testRelayer),
+) (w *httptest.ResponseRecorder, servers []string) {
+	w = httptest.NewRecorder()
 	synctest.Test(t, func(t *testing.T) {
 		tr := newTestRelayer(t)
-		tr.servers, tr.retriesLeft = []string{"s1"}, 0
-		body := strings.Repeat("x", maxBufferedBytes+20_000)
-		tr.backend.scripts["s1"] = []string{fmt.Sprintf(`HTTP/1.1 500 Bad\r\nId: ID\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s`, len(body), body)}
+		catalog := *tr.catalog
+		catalog.Routes = nil
+		for _, r := range tr.catalog.Routes {
+			route := *r
+			route.MaxAttempts = maxAttempts
+			catalog.Routes = append(catalog.Routes, &route)
+		}
+		tr.catalog = newCatalog(t, catalog)
+		for i, script := range scripts {
+			tr.servers = append(tr.servers, fmt.Sprint("s", i+1))
+			tr.backend.scripts[tr.servers[i]] = []string{script}
+		}
 		tr.relayer.Hedging = &Hedging{Hedger: tr.newHedger(100, 10)}
-		req := httptest.NewRequest("POST", "http://h/read/1", strings.NewReader("x"))
+		change(tr)
+		req := httptest.NewRequest("POST", "http://h"+path, strings.NewReader("x"))
 		req.Header.Set("Id", "q")
 		req.Header.Set("Key", "k")
-		w := httptest.NewRecorder()
-		serveHTTP(tr.relayer, w, req)
-		qt.Check(t, w.Body.Len(), qt.Equals, len(body))
+		serveHTTP(tr.relayer, sluggishCaller{w}, req)
+		synctest.Wait()
+		for _, line := range tr.backend.log {
+			if server, _, ok := strings.Cut(line, " got "); ok {
+				servers = append(servers, server)
+			}
+		}
 		close(tr.backend.stop)
 		tr.sender.RetainServers(nil)
 		synctest.Wait()
 	})
+	return w, servers
+}
+
+// Guards against a server that works on for a loser while the answer is written to a slow caller.
+func TestLoserIsCanceledAtOnce(t *testing.T) {
+	for path, answer := range map[string]string{"/read/1": signedResponse, "/chat/1": streamHead + event1 + `0\r\n\r\n`} {
+		var canceled []time.Duration
+		hedgedCall(t, path, 2, []string{"@hang", answer}, func(tr *testRelayer) {
+			start := time.Now()
+			tr.relayer.Send = func(ctx context.Context, r *sender.Request) (*sender.Response, error) {
+				resp, err := tr.sender.Send(ctx, r)
+				if err != nil {
+					canceled = append(canceled, time.Since(start))
+				}
+				return resp, err
+			}
+		})
+		qt.Check(t, canceled, qt.HasLen, 1)
+		qt.Check(t, canceled[0] < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", canceled))
+	}
+}
+
+// Guards against a part that is missing from a long error response, as its remainder is read before it is forwarded.
+func TestLongServerErrorIsForwardedWhole(t *testing.T) {
+	body := strings.Repeat("x", maxBufferedBytes+20_000)
+	script := fmt.Sprintf(`HTTP/1.1 500 Bad\r\nId: ID\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s`, len(body), body)
+	w, _ := hedgedCall(t, "/read/1", 2, []string{script}, func(tr *testRelayer) { tr.retriesLeft = 0 })
+	qt.Check(t, w.Body.Len(), qt.Equals, len(body))
 }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -228,8 +228,9 @@
 // Assignment.ReportFirstEvent, "ended" for Assignment.Release, where "full" is
 // AttemptResult.Refused, and "moved" for Relayer.OnServerReplaced.
 func (tr *testRelayer) call(d *datadriven.TestData, t *testing.T) string {
-	var path, key, body, parts string
+	var path, key, body, parts, last string
 	d.MaybeScanArgs(t, "parts", &parts)
+	d.MaybeScanArgs(t, "last", &last)
 	id := "q"
 	d.MaybeScanArgs(t, "id", &id)
 	callerTimeout, leaveAfter := 0, 0
@@ -262,6 +263,7 @@
 	}
 	req := httptest.NewRequest(method, "http://h"+path, strings.NewReader(body)).WithContext(ctx)
 	req.Header.Set("Id", id)
+	req.Header.Set("Last", last)
 	req.Header.Set("Parts", strings.ReplaceAll(parts, "+", ","))
 	req.Header.Set("Key", key)
 	if callerTimeout > 0 {
@@ -435,6 +437,7 @@
 		d.ScanArgs(t, "since", &ms)
 		tr.shutdownAge = time.Duration(ms) * time.Millisecond
 	case "call":
+		tr.addScripts(d)
 		return tr.call(d, t)
 	case "hedging", "hedges":
 		return tr.runHedgeCommand(d, t)
