relayer: no third server for a request whose first attempt or hedge crashed its server

Cause: only the failure of the attempt that ended last decided about a retry. When the first attempt showed that the request may crash servers and the hedge then failed for another reason, a third server got the request. Change: such a failure of either attempt rules out retries and standbys of a hedged request.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -171,7 +171,7 @@
 	if x.sentAttempts == 0 {
 		return true
 	}
-	if failure.mayCrashServers {
+	if failure.mayCrashServers || x.hedge.isSuspect() {
 		return false
 	}
 	return x.sentAttempts < x.call.Route.MaxAttempts && x.AllowRetry(x.call.Service.Name)
--- a/internal/relayer/buffered_attempt.go
+++ b/internal/relayer/buffered_attempt.go
@@ -196,6 +196,7 @@
 	}
 	x.mayHaveRun = x.mayHaveRun || a.failure == nil || !a.failure.notRun
 	x.reportEvidence(a.ctx, a.server, a.sentAt, a.resp, a.failure, a.failure == nil)
+	r.hedge.recordFailure(a.failure)
 	x.settleBuffered(a, false)
 	return false
 }
--- a/internal/relayer/hedge.go
+++ b/internal/relayer/hedge.go
@@ -44,6 +44,8 @@
 	// started is true once a hedge has started. firstRecorded is true once the time of the first attempt
 	// is recorded, and answered once an answer is.
 	started, firstRecorded, answered bool
+	// suspect is true if the failure of the first attempt or the hedge showed that the request may crash servers.
+	suspect bool
 }
 
 // armHedge counts the work of the request at its first attempt. It returns nil if the request is not hedged, and at
@@ -199,6 +201,16 @@
 	}
 }
 
+// recordFailure notes what the failure of one of two attempts shows of the request.
+func (h *hedge) recordFailure(failure *attemptFailure) {
+	if h != nil && h.started && failure != nil && failure.mayCrashServers {
+		h.suspect = true
+	}
+}
+
+// isSuspect reports whether no other server may get the request, as one of two attempts failed.
+func (h *hedge) isSuspect() bool { return h != nil && h.suspect }
+
 // recordFirst records the time of the first attempt: until its answer began or, if it was canceled, until then.
 func (h *hedge) recordFirst(canceled bool) {
 	if h == nil || h.firstRecorded {
--- a/internal/relayer/hedge_test.go
+++ b/internal/relayer/hedge_test.go
@@ -274,3 +274,20 @@
 	w, _ := hedgedCall(t, "/read/1", 2, []string{script}, func(tr *testRelayer) { tr.retriesLeft = 0 })
 	qt.Check(t, w.Body.Len(), qt.Equals, len(body))
 }
+
+// Guards against a third server that ends under a request, since the hedge failed for another reason than the first
+// attempt, which shows that the request may end servers.
+func TestSuspectIsNotRetriedAfterHedge(t *testing.T) {
+	for _, path := range []string{"/read/1", "/chat/1"} {
+		for _, hedgeEnd := range []string{"@close", `HTTP/1.1 500 Bad\r\nId: ID\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n`} {
+			scripts := []string{"@wait 200\n@close", "@wait 300\n" + hedgeEnd, signedResponse}
+			_, servers := hedgedCall(t, path, 3, scripts, func(tr *testRelayer) {
+				start := time.Now()
+				tr.relayer.Quarantine.IsSuspect = func(s *cataloger.Server, _ quarantiner.Request) bool {
+					return s.ID == "s1" && time.Since(start) > 150*time.Millisecond
+				}
+			})
+			qt.Check(t, servers, qt.DeepEquals, []string{"s1", "s2"}, qt.Commentf("%s %s", path, hedgeEnd))
+		}
+	}
+}
--- a/internal/relayer/standby.go
+++ b/internal/relayer/standby.go
@@ -118,7 +118,7 @@
 // mayHaveStandby reports whether a standby may be sought for the only attempt.
 func (s *streamState) mayHaveStandby(ctx context.Context) bool {
 	x := s.x
-	if len(s.attempts) != 1 || s.standby.offers != nil || ctx.Err() != nil {
+	if len(s.attempts) != 1 || s.standby.offers != nil || ctx.Err() != nil || x.hedge.isSuspect() {
 		return false
 	}
 	sent := x.sentAttempts
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -154,6 +154,7 @@
 				return nil
 			}
 			x.hedge.disarm()
+			x.hedge.recordFailure(failure)
 			// A request whose only attempt failed is retried instead of hedged.
 			if failure.mayCrashServers || s.standby.hedge {
 				s.standby.stop()
