relayer: tests of hedges share one harness and print one line for each request

Change: the property test and the tests of single cases run through hedgedCase; the scripted ones print the log of a request that may be hedged on one line, without the workspace and the results that are false. Result: the scripted outputs are the same but for that form (compared line by line); removing the cancellation of the loser, its release, the rule on long errors, on suspects or on requests that may have run fails a test.

--- a/internal/relayer/hedge_test.go
+++ b/internal/relayer/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strconv"
@@ -91,6 +92,15 @@
 	return ""
 }
 
+// logLines returns the servers' log, in short form on one line for requests that may be hedged.
+func (tr *testRelayer) logLines() []string {
+	if tr.relayer.Hedging == nil || len(tr.backend.log) == 0 {
+		return tr.backend.log
+	}
+	short := strings.NewReplacer(` workspace="w"`, "", " failed=false", "", " full=false", "")
+	return []string{short.Replace(strings.Join(tr.backend.log, "; "))}
+}
+
 // addScripts adds the scripts of a call's arguments s1 and s2 in short form: (800,one) answers "one" after 800 ms,
 // (50,1:one,300,2:one) streams two events, and (300,close) and (hang) do what these commands do.
 func (tr *testRelayer) addScripts(d *datadriven.TestData) {
@@ -126,83 +136,27 @@
 	}
 }
 
-// Guards against a plain request with a hedge that runs too often, gets an answer that is not whole, is mixed or is not the server's own,
-// outlasts its deadline, is refused although it may have run, or leaves a slot or memory behind.
-func TestHedgedRequestsGetOneAnswer(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		scripts, refuses := map[string]string{}, true
-		for _, id := range []string{"s1", "s2", "s3"} {
-			b := rapid.SampledFrom(serverBehaviors).Draw(rt, id)
-			wait := rapid.SampledFrom([]int{0, 50, 150, 300, 950}).Draw(rt, id+" wait")
-			scripts[id] = strings.ReplaceAll(b.script, "good", "go"+id)
-			if b.script != "@refuse" {
-				scripts[id] = fmt.Sprintf("@wait %d\n%s", wait, scripts[id])
-			}
-			refuses = refuses && !b.mayRun
-		}
-		path := rapid.SampledFrom([]string{"/read/x", "/read/x", "/read/x", "/book/x"}).Draw(rt, "path")
-		retries := rapid.SampledFrom([]int{0, 1, 100}).Draw(rt, "retries")
-		slotWait := rapid.SampledFrom([]int{0, 0, 100}).Draw(rt, "slot wait")
-		leave := rapid.SampledFrom([]int{9999, 9999, 120, 300}).Draw(rt, "leave")
-		problems := ""
-		fail := func(format string, args ...any) { problems += fmt.Sprintf(format+"; ", args...) }
-		synctest.Test(t, func(t *testing.T) {
-			tr := newTestRelayer(t)
-			defer func() {
-				close(tr.backend.stop)
-				tr.sender.RetainServers(nil)
-				synctest.Wait()
-			}()
-			catalog := *tr.catalog
-			catalog.Routes = nil
-			for _, r := range tr.catalog.Routes {
-				route := *r
-				route.MaxAttempts, route.Timeout = 2, time.Second
-				catalog.Routes = append(catalog.Routes, &route)
-			}
-			tr.catalog = newCatalog(t, catalog)
-			for id, script := range scripts {
-				tr.backend.scripts[id] = []string{script}
-			}
-			tr.servers, tr.retriesLeft, tr.slotWait = []string{"s1", "s2", "s3"}, retries, time.Duration(slotWait)*time.Millisecond
-			tr.relayer.Hedging = &Hedging{Hedger: tr.newHedger(100, 10)}
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			time.AfterFunc(time.Duration(leave)*time.Millisecond, cancel)
-			req := httptest.NewRequest("POST", "http://h"+path, strings.NewReader("body")).WithContext(ctx)
-			req.Header.Set("Id", "q")
-			req.Header.Set("Key", "k")
-			w, start := httptest.NewRecorder(), time.Now()
-			cut := serveHTTP(tr.relayer, w, req)
-			if took := time.Since(start); took > time.Second {
-				fail("took %v", took)
-			}
-			synctest.Wait()
-			log := strings.Join(tr.backend.log, "\n")
-			sent := strings.Count(log, " got ")
-			if limit := map[string]int{"/read/x": 2, "/book/x": 1}[path]; sent > limit && !strings.Contains(log, "full=true") && !strings.Contains(log, "moved") {
-				fail("sent %d times", sent)
-			}
-			if w.Code < 300 && !cut && ctx.Err() == nil && (len(w.Body.String()) != 4 || !strings.HasPrefix(w.Body.String(), "gos") || w.Header().Get("Signed") == "") {
-				fail("got %q", w.Body)
-			}
-			if isNotRunStatus(w.Code) && !refuses && strings.Contains(log, "failed=true") {
-				fail("refused with status %d but may have run", w.Code)
-			}
-			if ended := strings.Count(log, " ended "); sent > ended {
-				fail("%d sent and %d ended", sent, ended)
-			}
-			if tr.relayer.BodyBudget.UsedBytes() != 0 || tr.relayer.Active() != 0 {
-				fail("memory or activity left")
-			}
-		})
-		if problems != "" {
-			rt.Fatal(problems)
-		}
-	})
+// hedgedCase is a request with the scripts of the servers s1, s2 and so on. Answers after 100 ms are late.
+type hedgedCase struct {
+	path        string
+	maxAttempts int
+	scripts     []string
+	// slow is true for a caller that takes half a second for each write.
+	slow bool
+	// leave is the time after which the caller leaves, unless it is 0.
+	leave  time.Duration
+	change func(*testRelayer)
+}
+
+// hedgedOutcome describes the end of a request. servers are those that got it, in this order.
+type hedgedOutcome struct {
+	*httptest.ResponseRecorder
+	cut, left bool
+	took      time.Duration
+	servers   []string
+	log       string
 }
 
-// sluggishCaller takes half a second for each write.
 type sluggishCaller struct{ *httptest.ResponseRecorder }
 
 func (w sluggishCaller) Write(p []byte) (int, error) {
@@ -210,49 +164,104 @@
 	return w.ResponseRecorder.Write(p)
 }
 
-// hedgedCall sends a request whose route permits maxAttempts. Answers after 100 ms are late.
-func hedgedCall(
-	t *testing.T, path string, maxAttempts int, scripts []string, change func(*testRelayer),
-) (w *httptest.ResponseRecorder, servers []string) {
-	w = httptest.NewRecorder()
+func (hc hedgedCase) run(t *testing.T) (out hedgedOutcome) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := newTestRelayer(t)
 		catalog := *tr.catalog
 		catalog.Routes = nil
 		for _, r := range tr.catalog.Routes {
 			route := *r
-			route.MaxAttempts = maxAttempts
+			route.MaxAttempts, route.Timeout = hc.maxAttempts, time.Second
 			catalog.Routes = append(catalog.Routes, &route)
 		}
 		tr.catalog = newCatalog(t, catalog)
-		for i, script := range scripts {
+		for i, script := range hc.scripts {
 			tr.servers = append(tr.servers, fmt.Sprint("s", i+1))
 			tr.backend.scripts[tr.servers[i]] = []string{script}
 		}
 		tr.relayer.Hedging = &Hedging{Hedger: tr.newHedger(100, 10)}
-		change(tr)
-		req := httptest.NewRequest("POST", "http://h"+path, strings.NewReader("x"))
+		hc.change(tr)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		if hc.leave > 0 {
+			time.AfterFunc(hc.leave, cancel)
+		}
+		req := httptest.NewRequest("POST", "http://h"+hc.path, strings.NewReader("x")).WithContext(ctx)
 		req.Header.Set("Id", "q")
 		req.Header.Set("Key", "k")
-		serveHTTP(tr.relayer, sluggishCaller{w}, req)
+		out.ResponseRecorder = httptest.NewRecorder()
+		w, start := http.ResponseWriter(out.ResponseRecorder), time.Now()
+		if hc.slow {
+			w = sluggishCaller{out.ResponseRecorder}
+		}
+		out.cut = serveHTTP(tr.relayer, w, req)
+		out.took, out.left = time.Since(start), ctx.Err() != nil
 		synctest.Wait()
+		out.log = strings.Join(tr.backend.log, "\n")
 		for _, line := range tr.backend.log {
 			if server, _, ok := strings.Cut(line, " got "); ok {
-				servers = append(servers, server)
+				out.servers = append(out.servers, server)
 			}
 		}
+		if tr.relayer.BodyBudget.UsedBytes() != 0 || tr.relayer.Active() != 0 {
+			out.log += "\nmemory or activity left"
+		}
 		close(tr.backend.stop)
 		tr.sender.RetainServers(nil)
 		synctest.Wait()
 	})
-	return w, servers
+	return out
+}
+
+// Guards against a plain request with a hedge that runs too often, gets an answer that is not whole, is mixed or is not the
+// server's own, outlasts its deadline, is refused although it may have run, or leaves a slot or memory behind.
+func TestHedgedRequestsGetOneAnswer(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		refuses := true
+		hc := hedgedCase{path: rapid.SampledFrom([]string{"/read/x", "/read/x", "/read/x", "/book/x"}).Draw(rt, "path"), maxAttempts: 2}
+		for _, id := range []string{"s1", "s2", "s3"} {
+			b := rapid.SampledFrom(serverBehaviors).Draw(rt, id)
+			wait := rapid.SampledFrom([]int{0, 50, 150, 300, 950}).Draw(rt, id+" wait")
+			script := strings.ReplaceAll(b.script, "good", "go"+id)
+			if b.script != "@refuse" {
+				script = fmt.Sprintf("@wait %d\n%s", wait, script)
+			}
+			hc.scripts, refuses = append(hc.scripts, script), refuses && !b.mayRun
+		}
+		retries := rapid.SampledFrom([]int{0, 1, 100}).Draw(rt, "retries")
+		slotWait := rapid.SampledFrom([]int{0, 0, 100}).Draw(rt, "slot wait")
+		hc.leave = time.Duration(rapid.SampledFrom([]int{0, 0, 120, 300}).Draw(rt, "leave")) * time.Millisecond
+		hc.change = func(tr *testRelayer) { tr.retriesLeft, tr.slotWait = retries, time.Duration(slotWait)*time.Millisecond }
+		out := hc.run(t)
+		body, sent := out.Body.String(), len(out.servers)
+		if out.took > time.Second {
+			rt.Errorf("took %v", out.took)
+		}
+		limit := map[string]int{"/read/x": 2, "/book/x": 1}[hc.path]
+		if sent > limit && !strings.Contains(out.log, "full=true") && !strings.Contains(out.log, "moved") {
+			rt.Errorf("sent %d times", sent)
+		}
+		whole := len(body) == 4 && strings.HasPrefix(body, "gos") && out.Header().Get("Signed") != ""
+		if out.Code < 300 && !out.cut && !out.left && !whole {
+			rt.Errorf("got %q", body)
+		}
+		if isNotRunStatus(out.Code) && !refuses && strings.Contains(out.log, "failed=true") {
+			rt.Errorf("refused with status %d but may have run", out.Code)
+		}
+		if ended := strings.Count(out.log, " ended "); sent > ended {
+			rt.Errorf("%d sent and %d ended", sent, ended)
+		}
+		if strings.Contains(out.log, "memory or activity left") {
+			rt.Errorf("memory or activity left")
+		}
+	})
 }
 
 // Guards against a server that works on for a loser while the answer is written to a slow caller.
 func TestLoserIsCanceledAtOnce(t *testing.T) {
 	for path, answer := range map[string]string{"/read/1": signedResponse, "/chat/1": streamHead + event1 + `0\r\n\r\n`} {
 		var canceled []time.Duration
-		hedgedCall(t, path, 2, []string{"@hang", answer}, func(tr *testRelayer) {
+		hedgedCase{path: path, maxAttempts: 2, scripts: []string{"@hang", answer}, slow: true, change: func(tr *testRelayer) {
 			start := time.Now()
 			tr.relayer.Send = func(ctx context.Context, r *sender.Request) (*sender.Response, error) {
 				resp, err := tr.sender.Send(ctx, r)
@@ -261,8 +270,8 @@
 				}
 				return resp, err
 			}
-		})
-		qt.Check(t, canceled, qt.HasLen, 1)
+		}}.run(t)
+		qt.Assert(t, canceled, qt.HasLen, 1)
 		qt.Check(t, canceled[0] < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", canceled))
 	}
 }
@@ -271,8 +280,8 @@
 func TestLongServerErrorIsForwardedWhole(t *testing.T) {
 	body := strings.Repeat("x", maxBufferedBytes+20_000)
 	script := fmt.Sprintf(`HTTP/1.1 500 Bad\r\nId: ID\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s`, len(body), body)
-	w, _ := hedgedCall(t, "/read/1", 2, []string{script}, func(tr *testRelayer) { tr.retriesLeft = 0 })
-	qt.Check(t, w.Body.Len(), qt.Equals, len(body))
+	out := hedgedCase{path: "/read/1", maxAttempts: 2, scripts: []string{script}, change: func(tr *testRelayer) { tr.retriesLeft = 0 }}.run(t)
+	qt.Check(t, out.Body.Len(), qt.Equals, len(body))
 }
 
 // Guards against a third server that ends under a request, since the hedge failed for another reason than the first
@@ -281,13 +290,13 @@
 	for _, path := range []string{"/read/1", "/chat/1"} {
 		for _, hedgeEnd := range []string{"@close", `HTTP/1.1 500 Bad\r\nId: ID\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n`} {
 			scripts := []string{"@wait 200\n@close", "@wait 300\n" + hedgeEnd, signedResponse}
-			_, servers := hedgedCall(t, path, 3, scripts, func(tr *testRelayer) {
+			out := hedgedCase{path: path, maxAttempts: 3, scripts: scripts, change: func(tr *testRelayer) {
 				start := time.Now()
 				tr.relayer.Quarantine.IsSuspect = func(s *cataloger.Server, _ quarantiner.Request) bool {
 					return s.ID == "s1" && time.Since(start) > 150*time.Millisecond
 				}
-			})
-			qt.Check(t, servers, qt.DeepEquals, []string{"s1", "s2"}, qt.Commentf("%s %s", path, hedgeEnd))
+			}}.run(t)
+			qt.Check(t, out.servers, qt.DeepEquals, []string{"s1", "s2"}, qt.Commentf("%s %s", path, hedgeEnd))
 		}
 	}
 }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -299,7 +299,7 @@
 	synctest.Wait()
 	tr.backend.mu.Lock()
 	defer tr.backend.mu.Unlock()
-	for _, l := range tr.backend.log {
+	for _, l := range tr.logLines() {
 		out.WriteString(l + "\n")
 	}
 	if tr.relayer.BodyBudget.UsedBytes() != 0 {
