relayer: the caller does not wait for the end of a canceled attempt

Cause: net/http holds back a short answer until the handler returns, and the handler waits for the end of the loser of a race. Change: the answer is flushed before that wait. Result: TestLoserIsCanceledAtOnce, which now checks this, failed before for the plain route; three runs of go test -race ./internal/relayer pass.

--- a/internal/relayer/buffered_attempt.go
+++ b/internal/relayer/buffered_attempt.go
@@ -248,6 +248,10 @@
 	for _, a := range r.started {
 		a.cancel(nil)
 	}
+	if len(r.overtaken) > 0 {
+		// Otherwise net/http could hold the answer back until the loser has ended. An error has no consequence here.
+		_ = r.x.respCtl.Flush()
+	}
 	for _, a := range r.overtaken {
 		if !a.ended {
 			// At most one attempt is overtaken.
--- a/internal/relayer/hedge_test.go
+++ b/internal/relayer/hedge_test.go
@@ -257,11 +257,12 @@
 	})
 }
 
-// Guards against a server that works on for a loser while the answer is written to a slow caller.
+// Guards against a server that works on for a loser while the answer is written to a slow caller, and a caller that waits for
+// the end of the loser, as net/http holds back a short answer until the handler returns.
 func TestLoserIsCanceledAtOnce(t *testing.T) {
 	for path, answer := range map[string]string{"/read/1": signedResponse, "/chat/1": streamHead + event1 + `0\r\n\r\n`} {
 		var canceled []time.Duration
-		hedgedCase{path: path, maxAttempts: 2, scripts: []string{"@hang", answer}, slow: true, change: func(tr *testRelayer) {
+		out := hedgedCase{path: path, maxAttempts: 2, scripts: []string{"@hang", answer}, slow: true, change: func(tr *testRelayer) {
 			start := time.Now()
 			tr.relayer.Send = func(ctx context.Context, r *sender.Request) (*sender.Response, error) {
 				resp, err := tr.sender.Send(ctx, r)
@@ -271,6 +272,7 @@
 				return resp, err
 			}
 		}}.run(t)
+		qt.Check(t, out.Flushed, qt.IsTrue, qt.Commentf("%s", path))
 		qt.Assert(t, canceled, qt.HasLen, 1)
 		qt.Check(t, canceled[0] < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", canceled))
 	}
