relayer: one function for the time until a server counts as silent

Change: buffered attempts repeated the expression of streams. No change of behavior. Result: two runs of go test -race ./internal/relayer pass.

--- a/internal/relayer/buffered_attempt.go
+++ b/internal/relayer/buffered_attempt.go
@@ -117,9 +117,10 @@
 	return a.isHedge && a.ctx.Err() != nil && !x.isLate(a)
 }
 
-// isLate reports whether the server of an attempt counts as silent if it has sent nothing.
+// isLate reports whether the server of an attempt counts as silent. Whether part of the answer has come is not known while
+// the attempt runs.
 func (x *exchange) isLate(a *bufferedAttempt) bool {
-	return time.Since(a.startedAt) >= max(minEventTimeout, firstEventTimeoutObjectives*x.call.Route.LatencyObjective)
+	return time.Since(a.startedAt) >= x.firstEventTimeout()
 }
 
 // bufferedRace is an attempt and its hedge. The first of them to have an answer that no other attempt could improve
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -411,9 +411,13 @@
 // eventTimeout returns how long the server of an attempt may send no event before it counts as silent. It reads the
 // prompt before its first one, also when it continues a stream.
 func (s *streamState) eventTimeout(a *streamAttempt) time.Duration {
-	route := s.x.call.Route
 	if a.events == 0 {
-		return max(minEventTimeout, firstEventTimeoutObjectives*route.LatencyObjective)
+		return s.x.firstEventTimeout()
 	}
-	return max(minEventTimeout, eventTimeoutGaps*route.MaxEventGap)
+	return max(minEventTimeout, eventTimeoutGaps*s.x.call.Route.MaxEventGap)
+}
+
+// firstEventTimeout returns how long a server may send nothing from the start of an attempt.
+func (x *exchange) firstEventTimeout() time.Duration {
+	return max(minEventTimeout, firstEventTimeoutObjectives*x.call.Route.LatencyObjective)
 }
