--- a/internal/conductor/assignment.go
+++ b/internal/conductor/assignment.go
@@ -32,6 +32,9 @@
 // assigned.
 func (n *node) assignServer(ctx context.Context, c *relayer.Call) (*relayer.Assignment, *relayer.Refusal) {
 	n.cold.hadTraffic.Store(true)
+	if c.Hedge {
+		n.excludeFromHedge(c)
+	}
 	for {
 		assignment, r := n.tryAssignServer(ctx, c)
 		if r != nil {
@@ -67,6 +70,9 @@
 		return nil, &relayer.Refusal{Reason: "servers-unknown", RetryAfter: noServerRetryAfter}
 	}
 	servers, _ := n.withoutExcluded(set.ByService[c.Service.Name])
+	if c.Hedge {
+		servers = n.withoutAvoided(servers)
+	}
 	return n.pickPlainServer(ctx, c, servers)
 }
 
@@ -113,6 +119,10 @@
 	return &relayer.Assignment{
 		Server: s, ReportFirstEvent: func() { silent.Store(false) }, ReportSilence: func() { silent.Store(true) },
 		Release: func(result relayer.AttemptResult) {
+			if result.Inconclusive && n.hedging != nil {
+				n.balancer.RequestCanceled(s.ID, result.Duration)
+				return
+			}
 			n.balancer.RequestDone(time.Now(), s.ID, result.Failed || silent.Load(), result.Refused, result.Duration)
 		},
 	}
@@ -172,13 +182,6 @@
 			shared += p.Tokens
 		}
 	}
-	answer := c.AnswerLengthHint
-	if answer == 0 {
-		answer = defaultAnswerTokens
-	}
-	if c.MaxAnswerTokens > 0 {
-		answer = min(answer, c.MaxAnswerTokens)
-	}
 	home := c.ID
 	switch n := len(names); {
 	case n > 1:
@@ -188,13 +191,25 @@
 	}
 	return &allocator.SlotRequest{
 		Workspace: c.Workspace, Service: c.Service,
-		PromptTokens: c.PromptTokens, PromptParts: admitter.HashParts(c.Model, names, tokens), AnswerTokens: answer,
+		PromptTokens: c.PromptTokens, PromptParts: admitter.HashParts(c.Model, names, tokens), AnswerTokens: answerTokens(c),
 		SharedPrefix: steerer.SharedPrefix{Home: home, Shared: shared},
 		Arrived:      c.Arrived, FirstEventBy: firstEventDeadline(c, time.Now()), Deadline: c.Deadline, ExcludedServers: c.ExcludedServers,
 		Resumed: c.Resumed, Standby: c.Standby,
 	}
 }
 
+// answerTokens returns the expected number of tokens of a call's answer.
+func answerTokens(c *relayer.Call) int {
+	answer := c.AnswerLengthHint
+	if answer == 0 {
+		answer = defaultAnswerTokens
+	}
+	if c.MaxAnswerTokens > 0 {
+		answer = min(answer, c.MaxAnswerTokens)
+	}
+	return answer
+}
+
 // firstEventDeadline returns when the first event of a call is due. A call that is retried may
 // already be late; it gets at least half of the time of a new call.
 func firstEventDeadline(c *relayer.Call, now time.Time) time.Time {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -23,6 +23,7 @@
 	"papayapaddle/internal/cataloger"
 	"papayapaddle/internal/excluder"
 	"papayapaddle/internal/failer"
+	"papayapaddle/internal/hedger"
 	"papayapaddle/internal/linker"
 	"papayapaddle/internal/messenger"
 	"papayapaddle/internal/pacer"
@@ -126,7 +127,9 @@
 	// limits holds the rates that servers name in their answers.
 	limits pacer.Limits
 	// cold holds the servers that are cold.
-	cold       coldState
+	cold coldState
+	// hedging is nil if the operators have not turned it on.
+	hedging    *hedging
 	metrics    *metricSet
 	limiter    *concurrencyLimiter
 	refusalLog refusalLogLimiter
@@ -204,6 +207,9 @@
 			Incarnation: uint64(time.Now().UnixMilli())<<16 | uint64(binary.LittleEndian.Uint16(b[:])),
 		},
 	}
+	if s.HedgePercent > 0 {
+		n.hedging = &hedging{hedger: hedger.Hedger{Percent: s.HedgePercent}, mayUse: n.mayHedgeTo}
+	}
 	n.logger = log.With(log.NewLogfmtLogger(rec), "router", s.Name)
 	n.evacuations.now, n.evacuations.log = timer.SinceBoot, n.log
 	n.evacuations.onChange, n.evacuations.tell = n.handleEvacuationChanges, n.tellNeighbors
@@ -294,6 +300,7 @@
 		CheckAdmission:  n.limiter.checkAdmission,
 		RequestDone:     n.limiter.release,
 		HijackAndRefuse: n.refuseKeepAlive, RetryAfter: n.retryAfter.randomDelay,
+		Hedging:    n.newHedging(b),
 		Withdrawn:  func() bool { return n.readiness.isOutOfRotation(time.Now()) },
 		BodyBudget: &relayer.MemoryBudget{MaxBytes: int64(float64(n.settings.Limits.MemoryMB<<20) * bodyMemoryFraction)},
 		ResponseBudget: &relayer.ResponseBudget{
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -112,6 +112,7 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.write(w)
+		n.writeHedgeMetrics(w)
 		zones, running := n.evacuationGauges()
 		fmt.Fprintf(w, "evacuated-zones %d\nevacuation-running %d\n", zones, running)
 		fmt.Fprintf(w, "active-requests %d\nbody-bytes %d\nunfinished-bytes %d\nresponse-bytes %d\nrouters-reachable %d\nlag-ms %d\nservers-cold %d\n",
