Test the ends of responses without a length in each state of a server

The test runs a router without a network, in virtual time: six states of a server, eight kinds of responses, five fates of the server, and responses that end at once or half a second later.

--- /dev/null
+++ b/internal/conductor/response_end_test.go
@@ -0,0 +1,396 @@
+package conductor
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"papayapaddle/internal/cataloger"
+	"papayapaddle/internal/relayer"
+	"papayapaddle/internal/watcher"
+	"papayapaddle/platform"
+)
+
+// fate is what becomes of a server once it has sent half of a response.
+type fate string
+
+const (
+	// outlives: the server sends the whole response and lives on.
+	outlives fate = "outlives"
+	// killed: its connections close first, then its listening socket.
+	killed fate = "killed"
+	// replaced: another server has its address by the time that the end is observed.
+	replaced fate = "replaced"
+	// restarted: it serves again under its ID after 300 ms.
+	restarted fate = "restarted"
+	// muted: the end arrives, but nothing after it.
+	muted fate = "muted"
+)
+
+// listenerDelay is how long the listening socket of a killed server outlives its connections.
+const listenerDelay = 20 * time.Millisecond
+
+// endServer is a server in memory whose responses have no length.
+type endServer struct {
+	id string
+	// respond returns the header and the two halves of the response to a request.
+	respond func(id string) (head, first, second string)
+	// pause is the time between the halves.
+	pause time.Duration
+
+	mu     sync.Mutex
+	fate   fate
+	ended  time.Time
+	conns  []net.Conn
+	got    []string
+	paused bool
+}
+
+func (s *endServer) dial(context.Context, string, string) (net.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	client, server := net.Pipe()
+	since := time.Since(s.ended)
+	switch {
+	case s.ended.IsZero() || s.fate == replaced || s.fate == restarted && since > 300*time.Millisecond:
+		s.conns = append(s.conns, server)
+		go s.serve(server)
+	case s.fate == muted:
+		go func() { _, _ = io.Copy(io.Discard, server) }()
+		s.conns = append(s.conns, server)
+	case since < listenerDelay:
+		_ = server.Close()
+	default:
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	return client, nil
+}
+
+func (s *endServer) serve(conn net.Conn) {
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if !s.answer(conn, req) {
+			return
+		}
+	}
+}
+
+// answer returns false if the connection ends.
+func (s *endServer) answer(conn net.Conn, req *http.Request) bool {
+	id, expected := req.Header.Get("Request-Id"), req.Header.Get("Expect-Instance")
+	s.mu.Lock()
+	self, silent, paused := s.id, !s.ended.IsZero() && s.fate == muted, s.paused
+	if !s.ended.IsZero() && s.fate == replaced {
+		self = "another"
+	}
+	switch {
+	case expected != self:
+		s.got = append(s.got, "misdirected")
+	case req.URL.Path == "/health":
+		s.got = append(s.got, "health")
+	default:
+		s.got = append(s.got, "request")
+	}
+	begun := len(s.got) > 1
+	s.mu.Unlock()
+	refuse := func(status, header string) bool {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n", status, id, header)
+		return err == nil
+	}
+	switch {
+	case silent:
+		return true
+	case expected != self:
+		return refuse("421 Misdirected Request", "Instance-Id: "+self+"\r\n")
+	case req.URL.Path == "/health":
+		return refuse("200 OK", "Instance-Id: "+self+"\r\n")
+	case paused && begun:
+		return refuse("503 Service Unavailable", "Not-Executed: 1\r\nRetry-After: 2\r\n")
+	}
+	head, first, second := s.respond(id)
+	if _, err := io.WriteString(conn, head+first); err != nil {
+		return false
+	}
+	time.Sleep(s.pause)
+	s.mu.Lock()
+	if s.fate != outlives {
+		s.ended = time.Now()
+		if s.fate != muted {
+			for _, c := range s.conns {
+				_ = c.Close()
+			}
+		}
+		s.mu.Unlock()
+		return false
+	}
+	s.mu.Unlock()
+	_, _ = io.WriteString(conn, second)
+	return false
+}
+
+// Kinds of responses, as the parts of their bodies and the routes of their requests.
+type responseKind struct {
+	name, path, contentType string
+	first, second           string
+	// repeatable is true if the request may be sent to another server, and forwarded if the first half reaches the
+	// client in any case.
+	repeatable, forwarded bool
+}
+
+var responseKinds = []responseKind{
+	{"buffered, idempotent", "/read/", "text/plain", "one", "two", true, false},
+	{"buffered, non-idempotent", "/book/", "text/plain", "one", "two", false, false},
+	{"beyond the buffer, idempotent", "/read/", "text/plain", strings.Repeat("x", 300<<10), "two", false, true},
+	{"beyond the buffer, non-idempotent", "/book/", "text/plain", strings.Repeat("x", 300<<10), "two", false, true},
+	{"resumable stream", "/chat/", "text/event-stream", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", true, true},
+	{"other stream", "/talk/", "text/event-stream", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", false, true},
+	{"no stream on the route of one", "/talk/", "text/plain", "one", "two", false, false},
+	{"no stream, beyond the buffer", "/talk/", "text/plain", strings.Repeat("x", 300<<10), "two", false, true},
+}
+
+// respond returns what a server responds. Another server goes on after the first event of a stream.
+func (k responseKind) respond(resumes bool) func(id string) (head, first, second string) {
+	return func(id string) (string, string, string) {
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp\r\nContent-Type: %s\r\nConnection: close\r\n\r\n",
+			id, k.contentType)
+		if resumes && k.contentType == "text/event-stream" {
+			return head, k.second, ""
+		}
+		return head, k.first, k.second
+	}
+}
+
+// serverStates are the states in which a server may be when its response ends.
+var serverStates = []struct {
+	name  string
+	apply func(f *endFleet)
+}{
+	{"ready", func(*endFleet) {}},
+	{"draining", func(f *endFleet) { f.list(serverRow("s1", "draining", 1)) }},
+	{"leaving", func(f *endFleet) {
+		f.node.handleServerResponse(f.server, "q", 0, relayer.ResponseInfo{Leaving: true})
+	}},
+	{"paused", func(f *endFleet) {
+		f.first.mu.Lock()
+		f.first.paused = true
+		f.first.mu.Unlock()
+		f.node.handleServerResponse(f.server, "q", 0, relayer.ResponseInfo{Pause: 2 * time.Second})
+	}},
+	{"unlisted", func(f *endFleet) { f.list(watcher.Row{Key: "s1", Deleted: true}) }},
+	{"in an evacuated zone", func(f *endFleet) { f.evacuated.Store(true) }},
+}
+
+// endFleet is a router without a network, and two servers: the one under test and another one.
+type endFleet struct {
+	c             *qt.C
+	node          *node
+	server        *cataloger.Server
+	first, second *endServer
+
+	// evacuated is true if the zone of the first server gets no requests.
+	evacuated atomic.Bool
+
+	mu       sync.Mutex
+	rows     []watcher.Row
+	version  uint64
+	assigned int
+}
+
+func serverRow(id, state string, born int) watcher.Row {
+	return watcher.Row{Key: id, Value: []byte(fmt.Sprintf(
+		`{"service":"s","address":"10.0.0.%s:80","zone":"z","slots":8,"state":%q,"born":%d}`, id[1:], state, born))}
+}
+
+// list writes an entry of a server.
+func (f *endFleet) list(r watcher.Row) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	r.Version = f.version
+	f.rows = append(f.rows, r)
+}
+
+func (f *endFleet) read(_ context.Context, after uint64) ([]watcher.Row, watcher.Position, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []watcher.Row
+	for _, r := range f.rows {
+		if r.Version > after {
+			out = append(out, r)
+		}
+	}
+	return out, watcher.Position{Era: 1, Version: f.version}, nil
+}
+
+const endConfig = `{"version":1,"services":[{"name":"s","healthPath":"/health","maxConnections":64}],"routeList":[
+{"name":"read","host":"h","prefix":"/read/","routeKind":"idempotent","timeoutMs":15000,"latencyGoalMs":400,"service":"s","maxAttempts":2},
+{"name":"book","host":"h","prefix":"/book/","routeKind":"non_idempotent","timeoutMs":15000,"latencyGoalMs":400,"service":"s","maxAttempts":1},
+{"name":"chat","host":"h","prefix":"/chat/","routeKind":"streaming","timeoutMs":15000,"latencyGoalMs":400,"gapTargetMs":5000,"service":"s","maxAttempts":2,"resumable":true},
+{"name":"talk","host":"h","prefix":"/talk/","routeKind":"streaming","timeoutMs":15000,"latencyGoalMs":400,"gapTargetMs":5000,"service":"s","maxAttempts":1}]}`
+
+// newEndFleet returns a router whose first server has a fate. It must be closed.
+func newEndFleet(c *qt.C, k responseKind, of fate, pause time.Duration) (f *endFleet, stop func()) {
+	f = &endFleet{
+		c: c, first: &endServer{id: "s1", respond: k.respond(false), pause: pause, fate: of},
+		second: &endServer{id: "s2", respond: k.respond(true), fate: outlives},
+	}
+	r := New(platform.Settings{
+		Name: "a", Limits: platform.ResourceLimits{CPUShare: 1, MemoryMB: 256, MaxDescriptors: 1024},
+		Bounds: platform.Bounds{MaxRevocationMillis: 5000, GracePeriodSeconds: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowSeconds: 10},
+	}, io.Discard)
+	c.Assert(r.Err(), qt.IsNil)
+	n := r.node
+	f.node = n
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if strings.HasPrefix(address, "10.0.0.1:") {
+			return f.first.dial(ctx, network, address)
+		}
+		return f.second.dial(ctx, network, address)
+	}
+	n.sender.Dial = dial
+	f.connect(dial)
+	start := time.Now()
+	n.watcher.Now = func() time.Duration { return time.Since(start) + time.Minute }
+	n.watcher.ReadStoreAfter = func() time.Duration { return 10 * time.Millisecond }
+	n.watcher.WaitForPeersUntil, n.watcher.ReadSettledEra, n.watcher.OnSettled, n.watcher.OnEra = nil, nil, nil, nil
+	config := []watcher.Row{{Key: platform.ConfigKey, Value: []byte(endConfig), Version: 1}}
+	n.watcher.ConfigTable = watcher.Table{
+		Read: func(context.Context) ([]watcher.Row, watcher.Position, error) {
+			return config, watcher.Position{Era: 1, Version: 1}, nil
+		},
+		Changes: func(context.Context, uint64) ([]watcher.Row, watcher.Position, error) {
+			return nil, watcher.Position{Era: 1, Version: 1}, nil
+		},
+		IsHistoryGone: func(error) bool { return false },
+	}
+	n.watcher.ServerTable = watcher.Table{
+		Read:    func(ctx context.Context) ([]watcher.Row, watcher.Position, error) { return f.read(ctx, 0) },
+		Changes: f.read, IsHistoryGone: func(error) bool { return false },
+	}
+	f.list(serverRow("s1", "ready", 1))
+	f.list(serverRow("s2", "ready", 1))
+	ctx, cancel := context.WithCancel(context.Background())
+	go n.watcher.Run(ctx)
+	time.Sleep(100 * time.Millisecond)
+	set := n.watcher.ServerSet()
+	c.Assert(set, qt.IsNotNil)
+	f.server = set.ByID["s1"]
+	c.Assert(f.server, qt.IsNotNil)
+	n.relayer.CurrentConfig = func() relayer.Config {
+		return relayer.Config{Catalog: n.watcher.Catalog(), AgeKnown: true}
+	}
+	n.relayer.AssignServer = func(context.Context, *relayer.Call) (*relayer.Assignment, *relayer.Refusal) {
+		f.assigned++
+		s := set.ByID[fmt.Sprint("s", min(2, f.assigned))]
+		return &relayer.Assignment{
+			Server: s, ReportFirstEvent: func() {}, ReportSilence: func() {}, Release: func(relayer.AttemptResult) {},
+		}, nil
+	}
+	return f, func() {
+		cancel()
+		n.sender.RetainServers(nil)
+		for _, s := range []*endServer{f.first, f.second} {
+			s.mu.Lock()
+			for _, c := range s.conns {
+				_ = c.Close()
+			}
+			s.mu.Unlock()
+		}
+		// Whatever was kept for the responses expires.
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	}
+}
+
+// send sends a request and returns the response, and whether it looks complete.
+func (f *endFleet) send(path string) (w *httptest.ResponseRecorder, complete bool, took time.Duration) {
+	method := http.MethodPost
+	if path == "/read/" {
+		method = http.MethodGet
+	}
+	req := httptest.NewRequest(method, "http://h"+path, nil)
+	req.Header.Set("Request-Id", "q")
+	w, complete = httptest.NewRecorder(), true
+	start := time.Now()
+	func() {
+		defer func() {
+			if p := recover(); p != nil {
+				f.c.Assert(p, qt.Equals, http.ErrAbortHandler)
+				complete = false
+			}
+		}()
+		f.node.relayer.ServeHTTP(w, req)
+	}()
+	return w, complete, time.Since(start)
+}
+
+// Guards against responses without a length that look complete though their server ended in the middle of them, and
+// against complete ones that are given up: in each state of a server, for each kind of response, and for responses
+// that end at once or later. The state is in force before the response ends.
+func TestEndsOfResponsesInEachState(t *testing.T) {
+	for _, state := range serverStates {
+		for _, k := range responseKinds {
+			for _, of := range []fate{outlives, killed, replaced, restarted, muted} {
+				for _, pause := range []time.Duration{0, 500 * time.Millisecond} {
+					t.Run(fmt.Sprintf("%s/%s/%s/%v", state.name, k.name, of, pause), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) { checkEnd(t, state.apply, k, of, pause) })
+					})
+				}
+			}
+		}
+	}
+}
+
+func checkEnd(t *testing.T, apply func(*endFleet), k responseKind, of fate, pause time.Duration) {
+	c := qt.New(t)
+	f, stop := newEndFleet(c, k, of, pause)
+	defer func() {
+		f.first.mu.Unlock()
+		stop()
+	}()
+	if pause == 0 {
+		apply(f)
+		time.Sleep(50 * time.Millisecond)
+		// The attempt has been sent already; only the end of its response comes in this state.
+		f.node.relayer.MaySend = nil
+	} else {
+		time.AfterFunc(pause/2, func() { apply(f) })
+	}
+	w, complete, took := f.send(k.path)
+	whole := w.Body.String() == k.first+k.second
+	f.first.mu.Lock()
+	comment := qt.Commentf("status %d, %d bytes, complete %v, after %v, first server got %v", w.Code, w.Body.Len(), complete, took, f.first.got)
+	switch {
+	case of == outlives || k.repeatable:
+		c.Assert(w.Code == http.StatusOK && whole && complete, qt.IsTrue, comment)
+	case k.forwarded:
+		c.Assert(complete, qt.IsFalse, comment)
+	default:
+		c.Assert(w.Code, qt.Equals, http.StatusBadGateway, comment)
+	}
+	// A sound server is proved at once, and one that says nothing is waited for no longer than the timeout.
+	limit := 100 * time.Millisecond
+	if of == muted {
+		limit = 4 * time.Second
+	}
+	c.Assert(took <= pause+limit, qt.IsTrue, comment)
+}
