Prove that a server outlived a response that ended with its connection

A response without a length counted as complete when its connection ended, unless one connection attempt to its server was refused. The listening socket of a killed process closes last, so that the attempt was accepted; servers that drain or had asked for a pause were not tried; the part of a response beyond the buffer was not checked, nor one that is no stream on the route of streams.

Package verifier decides, for every such response and every state of a server: it is complete only if the incarnation of its server responds to a request that was sent after the end, on a connection that this incarnation must have accepted. Package prober keeps one connection to each server while such responses are in progress and sends a request on it that names no server, so that none executes it; without that connection it opens one and sends a health request. The crash detector uses the same proof, without health requests.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -118,6 +118,8 @@
 	// MaxConnections is the number of connections that one server accepts from all
 	// clients together.
 	MaxConnections int
+	// HealthPath is the target of health requests; empty if the servers serve none.
+	HealthPath string
 	// Engine is nil for services that are not model servers.
 	Engine *Engine
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -26,6 +26,7 @@
 	"papayapaddle/internal/linker"
 	"papayapaddle/internal/messenger"
 	"papayapaddle/internal/pacer"
+	"papayapaddle/internal/prober"
 	"papayapaddle/internal/quarantiner"
 	"papayapaddle/internal/recorder"
 	"papayapaddle/internal/relayer"
@@ -102,6 +103,7 @@
 	budgeter   *budgeter.Budgeter
 	sender     *sender.Sender
 	relayer    *relayer.Relayer
+	prober     *prober.Prober
 	// quarantiner holds what crashes servers, and crashDetector finds out that they crashed.
 	quarantiner   *quarantiner.Quarantiner
 	crashDetector *crashDetector
@@ -157,7 +159,7 @@
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.Bounds.GracePeriod()),
 		fx.Supply(s, &recorder.AsyncWriter{Out: out}),
-		fx.Provide(newNode, newStore, newWatcher, newMessenger, newAllocator, newBudgeter, newSender, newQuarantiner, newCrashDetector, newRelayer),
+		fx.Provide(newNode, newStore, newWatcher, newMessenger, newAllocator, newBudgeter, newSender, newProber, newQuarantiner, newCrashDetector, newRelayer),
 		fx.Invoke(wire, func(lc fx.Lifecycle, n *node) {
 			lc.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
 		}),
@@ -252,7 +254,7 @@
 }
 
 func newRelayer(
-	n *node, w *watcher.Watcher, s *sender.Sender, b *budgeter.Budgeter, q *quarantiner.Quarantiner, d *crashDetector,
+	n *node, w *watcher.Watcher, s *sender.Sender, b *budgeter.Budgeter, q *quarantiner.Quarantiner, d *crashDetector, p *prober.Prober,
 ) *relayer.Relayer {
 	return &relayer.Relayer{
 		Codec: platform.Codec{},
@@ -262,8 +264,9 @@
 		},
 		MaxConfigAge: time.Duration(float64(n.settings.Bounds.MaxRevocationDelay()) * configAgeFraction),
 		AssignServer: n.assignServer,
-		Quarantine:   newQuarantine(q, d), ServerEnded: d.ended,
-		MaySend: n.maySend, ServerResponded: n.handleServerResponse,
+		Quarantine:   newQuarantine(q, d), HandleReply: p.HandleResponse,
+		WatchEnd: func(s *cataloger.Server) relayer.EndWatch { return p.Watch(s) },
+		MaySend:  n.maySend, ServerResponded: n.handleServerResponse,
 		Send: s.Send, CloseIdle: s.CloseIdle,
 		OnServerReplaced: func(server string) { w.RemoveServer(server, "another server answers at its address") },
 		RecordRequest:    func(service string) { b.RecordRequest(time.Now(), service) },
@@ -282,9 +285,9 @@
 
 // wire connects components that call each other.
 func wire(n *node, st *platform.Store, w *watcher.Watcher, m *messenger.Messenger, a *allocator.Allocator,
-	b *budgeter.Budgeter, s *sender.Sender, r *relayer.Relayer, q *quarantiner.Quarantiner, d *crashDetector) {
+	b *budgeter.Budgeter, s *sender.Sender, r *relayer.Relayer, p *prober.Prober, q *quarantiner.Quarantiner, d *crashDetector) {
 	n.store, n.watcher, n.messenger, n.allocator = st, w, m, a
-	n.budgeter, n.sender, n.relayer = b, s, r
+	n.budgeter, n.sender, n.relayer, n.prober = b, s, r, p
 	n.quarantiner, n.crashDetector = q, d
 	w.OnServers = n.handleServerChange
 	m.OnUpdatesLost = func(address string, outcomes int, err error) {
--- a/internal/conductor/crash_detector.go
+++ b/internal/conductor/crash_detector.go
@@ -2,23 +2,19 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
-	"syscall"
 	"time"
 
 	"papayapaddle/internal/cataloger"
-	"papayapaddle/internal/linker"
 	"papayapaddle/internal/quarantiner"
+	"papayapaddle/internal/verifier"
 )
 
 const (
-	// probeTimeout limits the connection attempt that shows whether a server ended.
-	probeTimeout = 300 * time.Millisecond
 	// crashReportWindow is how long after a server ended further losses are taken for its own without
-	// another probe.
+	// another check.
 	crashReportWindow = time.Second
-	// maxLostRequests limits the requests that wait for one probe.
+	// maxLostRequests limits the requests that wait for one check.
 	maxLostRequests = 256
 	// silentLossTTL is how long the losses of a silent server are kept. Its entry lapses within three heartbeats if it
 	// has ended.
@@ -30,16 +26,17 @@
 // crashDetector finds out whether servers ended whose connections broke: such a server refuses new connections, or
 // is silent until its entry lapses. All exported fields must be set.
 type crashDetector struct {
-	Dial linker.DialFunc
-	// MayProbe reports whether a server may get a connection. One that is shutting down refuses them
-	// while its last answers are whole.
-	MayProbe func(*cataloger.Server) bool
+	// Check finds out whether a server outlived a connection that has just broken.
+	Check func(context.Context, *cataloger.Server) verifier.Verdict
+	// MaySuspect reports whether the end of a server would be evidence against its requests. One that is shutting
+	// down ends in any case.
+	MaySuspect func(*cataloger.Server) bool
 	// OnCrash is called with the requests that a server held when it ended.
 	OnCrash func(s *cataloger.Server, lost []quarantiner.LostRequest)
 
 	mu     sync.Mutex
 	losses map[uint64]*serverLoss
-	// silent are the servers that neither accepted nor refused a connection after a loss.
+	// silent are the servers that neither responded nor refused a connection after a loss.
 	silent map[uint64]silentLoss
 }
 
@@ -53,7 +50,7 @@
 // serverLoss is what one incarnation of a server has lost.
 type serverLoss struct {
 	lost []quarantiner.LostRequest
-	// endedUntil is until when the server counts as ended, or zero while a probe runs.
+	// endedUntil is until when the server counts as ended, or zero while it is checked.
 	endedUntil time.Time
 }
 
@@ -70,7 +67,7 @@
 	switch {
 	case l == nil:
 		d.losses[serverKey(s)] = &serverLoss{lost: []quarantiner.LostRequest{p}}
-		go d.probe(s)
+		go d.check(s)
 	case l.endedUntil.IsZero():
 		if len(l.lost) < maxLostRequests {
 			l.lost = append(l.lost, p)
@@ -80,10 +77,13 @@
 	}
 }
 
-// probe finds out whether a server ended and reports what it lost.
-func (d *crashDetector) probe(s *cataloger.Server) {
-	state := d.dial(context.Background(), s)
-	ended := state == serverRefuses
+// check finds out whether a server ended and reports what it lost.
+func (d *crashDetector) check(s *cataloger.Server) {
+	verdict := verifier.Outlived
+	if d.MaySuspect(s) {
+		verdict = d.Check(context.Background(), s)
+	}
+	ended := verdict == verifier.Ended
 	d.mu.Lock()
 	l := d.losses[serverKey(s)]
 	lost := l.lost
@@ -93,7 +93,7 @@
 	} else {
 		delete(d.losses, serverKey(s))
 	}
-	if state == serverSilent {
+	if verdict == verifier.Unproven {
 		d.keepSilent(s, lost)
 	}
 	d.mu.Unlock()
@@ -139,38 +139,3 @@
 		}
 	}
 }
-
-// serverState is what an attempt to connect shows of a server.
-type serverState int
-
-const (
-	serverAccepts serverState = iota
-	// serverRefuses: no process listens at its address.
-	serverRefuses
-	// serverSilent: it has ended with its machine, or cannot be reached.
-	serverSilent
-)
-
-// ended reports whether a server refuses connections. One that does not respond may only be
-// unreachable.
-func (d *crashDetector) ended(ctx context.Context, s *cataloger.Server) bool {
-	return d.dial(ctx, s) == serverRefuses
-}
-
-func (d *crashDetector) dial(ctx context.Context, s *cataloger.Server) serverState {
-	if !d.MayProbe(s) {
-		return serverAccepts
-	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	conn, err := d.Dial(ctx, "tcp", s.Address)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
-		return serverRefuses
-	case err != nil:
-		return serverSilent
-	}
-	// No request was sent on it.
-	_ = conn.Close()
-	return serverAccepts
-}
--- a/internal/conductor/crash_detector_test.go
+++ b/internal/conductor/crash_detector_test.go
@@ -1,9 +1,12 @@
 package conductor
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"testing"
@@ -13,26 +16,80 @@
 	qt "github.com/frankban/quicktest"
 
 	"papayapaddle/internal/cataloger"
+	"papayapaddle/internal/linker"
+	"papayapaddle/internal/prober"
 	"papayapaddle/internal/quarantiner"
+	"papayapaddle/internal/sender"
+	"papayapaddle/platform"
 )
 
-// Guards against broken connections that are taken for the end of a server: only one that refuses
-// connections has ended, and none that is shutting down or silent.
+// newScriptedDetector returns a crash detector whose connections are opened by dial.
+func newScriptedDetector(dial linker.DialFunc, onCrash func(*cataloger.Server, []quarantiner.LostRequest)) *crashDetector {
+	p := &prober.Prober{
+		Sender: &sender.Sender{Dial: dial},
+		Encode: func(s *cataloger.Server, misdirected bool, id string) (string, http.Header) {
+			return platform.EncodeProof(s.ID, "/health", id, misdirected)
+		},
+		Decode:      decodeProof,
+		PausedUntil: func(*cataloger.Server) time.Time { return time.Time{} },
+		Replaced:    func(*cataloger.Server) bool { return false },
+	}
+	return &crashDetector{Check: p.Check, MaySuspect: func(*cataloger.Server) bool { return true }, OnCrash: onCrash}
+}
+
+// respondAs returns a connection to a server that refuses misdirected requests, and executes none.
+func respondAs(id string) net.Conn {
+	client, server := net.Pipe()
+	go func() {
+		defer server.Close()
+		br := bufio.NewReader(server)
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil || req.Header.Get("Expect-Instance") == id {
+				return
+			}
+			if _, err := fmt.Fprintf(server, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n",
+				id, req.Header.Get("Request-Id")); err != nil {
+				return
+			}
+		}
+	}()
+	return client
+}
+
+// Guards against broken connections that are taken for the end of a server, and ends that are missed: only a server that
+// refuses connections, or whose address another one has, has ended, and none that is shutting down or silent. An accepted
+// connection shows nothing: the listening socket of a killed process closes last.
 func TestBrokenConnectionsAreNotCrashes(t *testing.T) {
 	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	closed := func() net.Conn {
+		client, server := net.Pipe()
+		_ = server.Close()
+		return client
+	}
 	for _, tt := range []struct {
-		name     string
-		mayProbe bool
-		dial     func(context.Context) (net.Conn, error)
-		reported int
+		name       string
+		maySuspect bool
+		dial       func(ctx context.Context, n int) (net.Conn, error)
+		reported   int
 	}{
-		{"it refuses connections", true, func(context.Context) (net.Conn, error) { return nil, refused }, 3},
-		{"it is shutting down", false, func(context.Context) (net.Conn, error) { return nil, refused }, 0},
-		{"it accepts connections", true, func(context.Context) (net.Conn, error) {
-			client, _ := net.Pipe()
+		{"it refuses connections", true, func(context.Context, int) (net.Conn, error) { return nil, refused }, 3},
+		{"it is shutting down", false, func(context.Context, int) (net.Conn, error) { return nil, refused }, 0},
+		{"it responds", true, func(context.Context, int) (net.Conn, error) { return respondAs("s"), nil }, 0},
+		{"another server responds", true, func(context.Context, int) (net.Conn, error) { return respondAs("other"), nil }, 3},
+		{"its listening socket closes last", true, func(_ context.Context, n int) (net.Conn, error) {
+			if n > 1 {
+				return nil, refused
+			}
+			return closed(), nil
+		}, 3},
+		{"it closes all connections", true, func(context.Context, int) (net.Conn, error) { return closed(), nil }, 0},
+		{"it accepts connections and is silent", true, func(context.Context, int) (net.Conn, error) {
+			client, server := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, server) }()
 			return client, nil
 		}, 0},
-		{"it is silent", true, func(ctx context.Context) (net.Conn, error) {
+		{"it is silent", true, func(ctx context.Context, _ int) (net.Conn, error) {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}, 0},
@@ -42,33 +99,31 @@
 				c := qt.New(t)
 				var mu sync.Mutex
 				dials, reported := 0, 0
-				d := &crashDetector{
-					Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
-						mu.Lock()
-						dials++
-						mu.Unlock()
-						return tt.dial(ctx)
-					},
-					MayProbe: func(*cataloger.Server) bool { return tt.mayProbe },
-					OnCrash: func(_ *cataloger.Server, lost []quarantiner.LostRequest) {
-						mu.Lock()
-						defer mu.Unlock()
-						reported += len(lost)
-					},
-				}
+				d := newScriptedDetector(func(ctx context.Context, _, _ string) (net.Conn, error) {
+					mu.Lock()
+					dials++
+					n := dials
+					mu.Unlock()
+					return tt.dial(ctx, n)
+				}, func(_ *cataloger.Server, lost []quarantiner.LostRequest) {
+					mu.Lock()
+					defer mu.Unlock()
+					reported += len(lost)
+				})
+				d.MaySuspect = func(*cataloger.Server) bool { return tt.maySuspect }
 				s := &cataloger.Server{ID: "s", Address: "10.0.0.1:80"}
 				d.requestLost(s, quarantiner.LostRequest{})
 				d.requestLost(s, quarantiner.LostRequest{})
-				time.Sleep(probeTimeout)
+				time.Sleep(300 * time.Millisecond)
 				synctest.Wait()
 				// A loss that is seen later belongs to the same end of the server.
 				d.requestLost(s, quarantiner.LostRequest{})
-				time.Sleep(2 * crashReportWindow)
+				time.Sleep(10 * crashReportWindow)
 				synctest.Wait()
 				mu.Lock()
 				defer mu.Unlock()
 				c.Assert(reported, qt.Equals, tt.reported)
-				c.Assert(dials <= 2, qt.IsTrue)
+				c.Assert(dials <= 4, qt.IsTrue, qt.Commentf("%d connections", dials))
 				c.Assert(d.losses, qt.HasLen, 0)
 			})
 		})
@@ -98,16 +153,12 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				reported := 0
-				d := &crashDetector{
-					Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
-						<-ctx.Done()
-						return nil, ctx.Err()
-					},
-					MayProbe: func(*cataloger.Server) bool { return true },
-					OnCrash:  func(_ *cataloger.Server, lost []quarantiner.LostRequest) { reported += len(lost) },
-				}
+				d := newScriptedDetector(func(ctx context.Context, _, _ string) (net.Conn, error) {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}, func(_ *cataloger.Server, lost []quarantiner.LostRequest) { reported += len(lost) })
 				d.requestLost(s, quarantiner.LostRequest{})
-				time.Sleep(2 * probeTimeout)
+				time.Sleep(600 * time.Millisecond)
 				d.handleServerList(map[string]*cataloger.Server{"s": s})
 				d.requestLost(s, quarantiner.LostRequest{})
 				time.Sleep(tt.after)
--- a/internal/conductor/quarantine.go
+++ b/internal/conductor/quarantine.go
@@ -5,7 +5,8 @@
 	"time"
 
 	"papayapaddle/internal/cataloger"
-	"papayapaddle/internal/linker"
+	"papayapaddle/internal/excluder"
+	"papayapaddle/internal/prober"
 	"papayapaddle/internal/quarantiner"
 	"papayapaddle/internal/relayer"
 	"papayapaddle/internal/timer"
@@ -57,9 +58,9 @@
 	return out
 }
 
-func newCrashDetector(n *node, q *quarantiner.Quarantiner) *crashDetector {
+func newCrashDetector(n *node, q *quarantiner.Quarantiner, p *prober.Prober) *crashDetector {
 	return &crashDetector{
-		Dial: linker.NewKeepAliveDialer(connSilenceTimeout), MayProbe: n.mayProbe,
+		Check: p.Check, MaySuspect: n.maySuspect,
 		OnCrash: func(s *cataloger.Server, lost []quarantiner.LostRequest) {
 			begun := 0
 			for _, p := range lost {
@@ -74,11 +75,16 @@
 	}
 }
 
-// mayProbe reports whether the refusal of a connection would show that a server has crashed.
-func (n *node) mayProbe(s *cataloger.Server) bool {
+// maySuspect reports whether the end of a server would show that it has crashed.
+func (n *node) maySuspect(s *cataloger.Server) bool {
+	cause, _ := n.excluder.Check(timer.SinceBoot(), excludedServer(s))
+	return !n.isDraining(s) && cause != excluder.CauseLeaving
+}
+
+// isDraining reports whether a server is listed as draining.
+func (n *node) isDraining(s *cataloger.Server) bool {
 	set := n.watcher.ServerSet()
-	draining := set != nil && set.ByID[s.ID] != nil && set.ByID[s.ID].Draining
-	return !draining && !n.isExcluded(s)
+	return set != nil && set.ByID[s.ID] != nil && set.ByID[s.ID].Draining
 }
 
 func releaseOf(s *cataloger.Server) quarantiner.Release {
--- a/internal/conductor/response_end_dial_test.go
+++ b/internal/conductor/response_end_dial_test.go
@@ -1,6 +1,12 @@
 package conductor
 
-import "papayapaddle/internal/linker"
+import (
+	"papayapaddle/internal/cataloger"
+	"papayapaddle/internal/linker"
+)
 
 // connect sets what reaches the servers beside requests.
-func (f *endFleet) connect(dial linker.DialFunc) { f.node.crashDetector.Dial = dial }
+func (f *endFleet) connect(linker.DialFunc) {
+	mayProbe := f.node.prober.MayProbe
+	f.node.prober.MayProbe = func(s *cataloger.Server) bool { return !f.evacuated.Load() && mayProbe(s) }
+}
--- a/internal/conductor/response_end_test.go
+++ b/internal/conductor/response_end_test.go
@@ -187,7 +187,7 @@
 	{"ready", func(*endFleet) {}},
 	{"draining", func(f *endFleet) { f.list(serverRow("s1", "draining", 1)) }},
 	{"leaving", func(f *endFleet) {
-		f.node.handleServerResponse(f.server, "q", 0, relayer.ResponseInfo{Leaving: true})
+		f.node.handleServerResponse(f.server, "q", 0, relayer.ResponseInfo{Leaving: true, Instance: "s1"})
 	}},
 	{"paused", func(f *endFleet) {
 		f.first.mu.Lock()
--- a/internal/excluder/excluder.go
+++ b/internal/excluder/excluder.go
@@ -137,6 +137,12 @@
 	return "", 0
 }
 
+// PausedUntil returns the end of the latest pause that a server asked for, or 0.
+func (e *Excluder) PausedUntil(s Server) time.Duration {
+	x, _ := e.get(s)
+	return x.pausedUntil
+}
+
 // allowed returns how many requests may have been sent at a time after the end of a pause.
 func allowed(sinceEnd time.Duration) int64 {
 	if sinceEnd >= ReturnTime {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -13,6 +13,7 @@
 	"papayapaddle/internal/failer"
 	"papayapaddle/internal/sender"
 	"papayapaddle/internal/timer"
+	"papayapaddle/internal/verifier"
 )
 
 const (
@@ -100,6 +101,7 @@
 	if ctx.Err() != nil {
 		return nil, &attemptFailure{notRun: true, reason: "deadline", err: ctx.Err()}
 	}
+	sentAt := time.Now()
 	resp, err := x.Send(ctx, out)
 	if err != nil {
 		kind := failer.KindOf[sender.Kind](err)
@@ -111,7 +113,11 @@
 			connectionBroke: kind == sender.KindNoResponse,
 		}
 	}
-	return resp, x.checkResponse(server.ID, resp)
+	failure := x.checkResponse(server.ID, resp)
+	if failure == nil && x.HandleReply != nil {
+		x.HandleReply(server, verifier.Reply{SentAt: sentAt, ConnectedAt: resp.ConnectedAt(), Expected: true, Own: true})
+	}
+	return resp, failure
 }
 
 // reportResponse passes on what the header of a response says of its server. Status 421 is the response
@@ -207,11 +213,10 @@
 			x.sentAttempts++
 		}
 		var body []byte
+		var end *responseEnd
 		if failure == nil {
-			body, failure = x.bufferBody(resp)
-		}
-		if failure == nil && x.endedWithServer(ctx, server, resp) {
-			failure = &attemptFailure{sent: true, connectionBroke: true, reason: "answer-cut", err: errServerEnded}
+			end = x.watchEnd(server, resp)
+			body, failure = x.bufferBody(ctx, resp, end)
 		}
 		x.reportEvidence(ctx, server, sentAt, resp, failure, failure == nil)
 		final := failure == nil &&
@@ -229,7 +234,10 @@
 			Duration: time.Since(start),
 		})
 		if final {
-			resp.Close(x.forwardResponse(resp, body))
+			resp.Close(x.forwardResponse(ctx, resp, body, end))
+		}
+		end.stop()
+		if final {
 			return
 		}
 		if failure == nil {
@@ -254,12 +262,17 @@
 // maxDrainBytes limits how much of a discarded response is read.
 const maxDrainBytes = 4 << 10
 
-// bufferBody reads the body up to one byte more than maxBufferedBytes.
-func (x *exchange) bufferBody(resp *sender.Response) ([]byte, *attemptFailure) {
+// bufferBody reads the body up to one byte more than maxBufferedBytes. One that is read to its end is complete.
+func (x *exchange) bufferBody(ctx context.Context, resp *sender.Response, end *responseEnd) ([]byte, *attemptFailure) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
 		return nil, &attemptFailure{sent: true, connectionBroke: true, reason: "answer-cut", err: err}
 	}
+	if len(body) <= maxBufferedBytes {
+		if failure := end.check(ctx, "answer-cut"); failure != nil {
+			return nil, failure
+		}
+	}
 	return body, nil
 }
 
@@ -278,9 +291,9 @@
 }
 
 // forwardResponse writes a server's response to the caller. The remainder of one that exceeds
-// maxBufferedBytes is streamed; if it is truncated, the caller's connection is aborted.
+// maxBufferedBytes is streamed; unless it is complete, the caller's connection is aborted.
 // forwardResponse reports whether the response was read to its end.
-func (x *exchange) forwardResponse(resp *sender.Response, body []byte) bool {
+func (x *exchange) forwardResponse(ctx context.Context, resp *sender.Response, body []byte, end *responseEnd) bool {
 	x.firstEventAt = time.Now()
 	x.setResponseHeader(resp)
 	if len(body) <= maxBufferedBytes {
@@ -298,6 +311,13 @@
 			x.setOutcome(outcomeCut, resp.Status)
 			return false
 		}
+		// The proper end of the body is written when the handler returns.
+		if failure := end.check(ctx, "answer-cut"); failure != nil {
+			x.Log("attempt-failed", "request", x.call.ID, "server", x.serverID, "reason", failure.reason, "not-run", false,
+				"err", failure.err)
+			x.setOutcome(outcomeCut, resp.Status)
+			return false
+		}
 	}
 	x.setOutcome(outcomeAnswered, resp.Status)
 	return true
--- a/internal/relayer/event.go
+++ b/internal/relayer/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -15,7 +16,7 @@
 // succeeds with events. It returns a failure if a part of the response was already forwarded to
 // the caller, or if another attempt may succeed where the server failed, and forwards the response
 // otherwise. It reports whether it forwarded the whole response.
-func (s *streamState) handleNonStream(end *attemptEnd) (*attemptFailure, bool) {
+func (s *streamState) handleNonStream(ctx context.Context, end *attemptEnd) (*attemptFailure, bool) {
 	x, resp := s.x, end.resp
 	mayRetry := x.call.Route.Resumable && (x.sentAttempts < x.call.Route.MaxAttempts || len(s.attempts) > 0)
 	if s.eventCount > 0 || x.wroteHeader || resp.Status >= http.StatusInternalServerError && mayRetry {
@@ -24,7 +25,7 @@
 			sent: true, reason: "server-failed", err: errors.New("status " + strconv.Itoa(resp.Status)),
 		}, false
 	}
-	return nil, x.forwardResponse(resp, end.body)
+	return nil, x.forwardResponse(ctx, resp, end.body, end.responseEnd)
 }
 
 // finishStream ends a stream that the server ended properly.
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -103,11 +102,3 @@
 		x.Quarantine.RequestLost(server, quarantiner.LostRequest{Request: x.identity, SentAt: sentAt, Begun: resp != nil})
 	}
 }
-
-var errServerEnded = errors.New("the server ended with its answer")
-
-// endedWithServer reports whether an answer that only the end of its connection delimits may have been
-// cut by the end of its server.
-func (x *exchange) endedWithServer(ctx context.Context, server *cataloger.Server, resp *sender.Response) bool {
-	return x.ServerEnded != nil && resp.DelimitedByClose() && x.ServerEnded(ctx, server)
-}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"papayapaddle/internal/cataloger"
 	"papayapaddle/internal/quarantiner"
 	"papayapaddle/internal/sender"
+	"papayapaddle/internal/verifier"
 )
 
 // Relayer serves callers. All fields must be set except where noted.
@@ -35,9 +36,12 @@
 	// ServerResponded is called for the header of each response of a server, with the ID of the request
 	// that was sent and the reading of the boot clock before that. It may be nil.
 	ServerResponded func(s *cataloger.Server, requestID string, sentAt time.Duration, info ResponseInfo)
-	// ServerEnded reports whether a server accepts no connections any more. If nil, the end of a
-	// connection that delimits an answer is never taken for the end of the server.
-	ServerEnded func(context.Context, *cataloger.Server) bool
+	// WatchEnd is called when the header of a response was received that is delimited by the end of its connection.
+	// If nil, the end of the connection always counts as that of the response.
+	WatchEnd func(*cataloger.Server) EndWatch
+	// HandleReply is called for each response of a server that was accepted, which shows that the server is alive. It
+	// may be nil.
+	HandleReply func(*cataloger.Server, verifier.Reply)
 	// Quarantine keeps requests from servers that they crash. If nil, none are.
 	Quarantine *Quarantine
 	// OnServerReplaced is called when another server responds at a server's address.
@@ -410,7 +414,7 @@
 		return
 	}
 	if x.serverError != nil && x.mayHaveRun {
-		x.forwardResponse(x.serverError.resp, x.serverError.body)
+		x.forwardResponse(x.req.Context(), x.serverError.resp, x.serverError.body, nil)
 		return
 	}
 	x.setOutcome(outcome, status)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -163,7 +163,7 @@
 		RequestDone: func(string) {},
 		BodyBudget:  &MemoryBudget{MaxBytes: 1 << 20},
 		Log:         func(string, ...any) {},
-		ServerEnded: func(_ context.Context, s *cataloger.Server) bool { return tr.ended[s.ID] },
+		WatchEnd:    func(s *cataloger.Server) EndWatch { return testWatch{tr, s.ID} },
 		Quarantine: &Quarantine{
 			Check:       func(p quarantiner.Request) (quarantiner.Verdict, bool, bool) { return tr.quarantiner.Check(0, p) },
 			RequestLost: tr.requestLost,
--- a/internal/relayer/scripted_servers_test.go
+++ b/internal/relayer/scripted_servers_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"papayapaddle/internal/verifier"
 )
 
 // scriptedServers responds to each request to a server with the server's next script. A script
@@ -109,3 +111,15 @@
 	}
 	return true
 }
+
+// testWatch watches a server of which the tests say whether it has ended.
+type testWatch struct {
+	tr     *testRelayer
+	server string
+}
+
+func (w testWatch) Outlived(context.Context, time.Time) (bool, verifier.Cause) {
+	return !w.tr.ended[w.server], verifier.CauseRefused
+}
+
+func (w testWatch) Stop() {}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -265,7 +265,7 @@
 	case a.failure != nil:
 	case failure != nil:
 	case u.end.nonStream:
-		failure, complete = s.handleNonStream(u.end)
+		failure, complete = s.handleNonStream(a.ctx, u.end)
 	default:
 		failure = s.finishStream(resp)
 		complete = failure == nil
@@ -276,6 +276,7 @@
 	if resp != nil {
 		resp.Close(complete || u.end.drained)
 	}
+	u.end.responseEnd.stop()
 	a.cancel(nil)
 	if a.failure != nil {
 		return a.failure
--- a/internal/relayer/stream_attempt.go
+++ b/internal/relayer/stream_attempt.go
@@ -64,6 +64,8 @@
 	// nonStream is true if the response is no stream. The first maxBufferedBytes and one byte are in body.
 	nonStream bool
 	body      []byte
+	// responseEnd is the end of the response. It is stopped when the update is handled.
+	responseEnd *responseEnd
 	// drained is true if the connection can be used again though the attempt failed.
 	drained bool
 }
@@ -91,15 +93,19 @@
 	switch resp := end.resp; {
 	case end.failure != nil:
 	case resp.Status != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
-		end.nonStream = true
-		end.body, end.failure = x.bufferBody(resp)
+		end.nonStream, end.responseEnd = true, x.watchEnd(a.server, resp)
+		end.body, end.failure = x.bufferBody(a.ctx, resp, end.responseEnd)
 	default:
-		end.failure = a.readEvents(x, resp, updates)
+		end.responseEnd = x.watchEnd(a.server, resp)
+		end.failure = a.readEvents(x, end, updates)
 	}
 	end.drained = end.failure != nil && end.failure.notRun && end.resp != nil && drain(end.resp)
 }
 
-var errPanic = errors.New("panic in an attempt")
+var (
+	errPanic    = errors.New("panic in an attempt")
+	errNoEvents = errors.New("the connection ended without an event")
+)
 
 // holdsEvent reports whether the end of an event is buffered.
 func holdsEvent(br *bufio.Reader) bool {
@@ -110,7 +116,8 @@
 
 // readEvents passes on each event as soon as it is complete. No part of a truncated event is passed on, so
 // that the stream can be resumed after the last complete one.
-func (a *streamAttempt) readEvents(x *exchange, resp *sender.Response, updates chan<- streamUpdate) *attemptFailure {
+func (a *streamAttempt) readEvents(x *exchange, end *attemptEnd, updates chan<- streamUpdate) *attemptFailure {
+	resp := end.resp
 	br := bufio.NewReaderSize(resp.Body, 4<<10)
 	// One buffer is filled while the event in the other one is forwarded.
 	var event, forwarded []byte
@@ -125,10 +132,10 @@
 			if len(event) > 0 {
 				return &attemptFailure{sent: true, connectionBroke: true, reason: "event-cut", err: io.ErrUnexpectedEOF}
 			}
-			if events == 0 && resp.DelimitedByClose() || x.endedWithServer(a.ctx, a.server, resp) {
-				return &attemptFailure{sent: true, connectionBroke: true, reason: "stream-cut", err: errServerEnded}
+			if events == 0 && resp.DelimitedByClose() {
+				return &attemptFailure{sent: true, connectionBroke: true, reason: "stream-cut", err: errNoEvents}
 			}
-			return nil
+			return end.responseEnd.check(a.ctx, "stream-cut")
 		case err != nil:
 			return &attemptFailure{sent: true, connectionBroke: true, reason: "stream-cut", err: err}
 		case len(event) > maxEventBytes:
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -52,6 +52,8 @@
 	RequestID string
 	// Signed is true if the headers show that the server itself produced the response.
 	Signed bool
+	// Instance is the ID that the server states of itself, empty if not given.
+	Instance string
 	// Leaving is true if the server states that it is shutting down.
 	Leaving bool
 	// Pause is how long the server wants no requests, or 0. InvalidPause is the value of one that cannot
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -119,6 +119,7 @@
 	// unlimited otherwise.
 	headerLimit   *io.LimitedReader
 	pool          *pool
+	connectedAt   time.Time
 	lastUsed      time.Time
 	reusableUntil time.Time
 	reused        bool
@@ -242,18 +243,11 @@
 	if c := p.get(time.Now(), r.AtMostOnce); c != nil {
 		return c, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	nc, err := s.Dial(ctx, "tcp", r.Address)
+	c, err := s.dialConn(ctx, r.Address)
 	if err != nil {
 		return nil, err
 	}
-	if s.OnConnect != nil {
-		s.OnConnect()
-	}
-	c := &conn{Conn: nc, pool: p}
-	c.headerLimit = &io.LimitedReader{R: nc, N: 1 << 62}
-	c.br = bufio.NewReaderSize(c.headerLimit, readBufferBytes)
+	c.pool = p
 	return c, nil
 }
 
@@ -371,9 +365,18 @@
 	}
 }
 
-// DelimitedByClose reports whether only the end of the connection shows where the body ends.
+// DelimitedByClose reports whether only the end of the connection shows where the body ends. A response to HEAD has no
+// body and may have no length.
 func (r *Response) DelimitedByClose() bool {
-	return r.httpResp != nil && r.ContentLength < 0 && len(r.httpResp.TransferEncoding) == 0
+	return r.httpResp != nil && r.ContentLength < 0 && len(r.httpResp.TransferEncoding) == 0 && r.httpResp.Body != http.NoBody
+}
+
+// ConnectedAt returns when the connection on which the response came was established.
+func (r *Response) ConnectedAt() time.Time {
+	if r.conn == nil {
+		return time.Time{}
+	}
+	return r.conn.connectedAt
 }
 
 // Close releases the connection. complete says whether the body was read to its end. The
