Ignore SIGHUP from before the Go runtime starts

A constructor, which runs before the Go runtime starts, ignores the signal; the runtime keeps it so until the serve command handles it, now before it reads the settings, so that no change of them is missed.

--- a/cmd/papayapaddle/main.go
+++ b/cmd/papayapaddle/main.go
@@ -9,11 +9,12 @@
 	"syscall"
 
 	"papayapaddle/internal/commander"
+	// SIGHUP is ignored from the start of the process.
+	_ "papayapaddle/internal/ignorer"
 )
 
 func main() {
-	// Ignore SIGHUP until the serve command handles it, since startup reads the current settings
-	// anyway.
+	// Without cgo, package ignorer does nothing. The serve command handles the signal before it reads the settings.
 	signal.Ignore(syscall.SIGHUP)
 	// The signals stay caught until the process exits, so that a second one just before the exit
 	// does not kill the process after a clean shutdown.
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -35,23 +35,26 @@
 			if path == "" {
 				return fmt.Errorf("no settings: use --settings FILE or set %s", platform.SettingsVariable)
 			}
+			reload := make(chan os.Signal, 1)
+			// SIGHUP is handled before the settings are read, so that no change of them is missed, and stays caught
+			// until the process exits, so that one during shutdown does not kill it.
+			signal.Notify(reload, syscall.SIGHUP)
 			settings, err := platform.LoadSettings(path)
 			if err != nil {
 				return err
 			}
-			return runPlatformRouter(ctx, settings, path, out)
+			return runPlatformRouter(ctx, settings, path, reload, out)
 		},
 	}
 }
 
-func runPlatformRouter(ctx context.Context, settings platform.Settings, path string, out io.Writer) error {
+func runPlatformRouter(
+	ctx context.Context, settings platform.Settings, path string, reload <-chan os.Signal, out io.Writer,
+) error {
 	router := conductor.New(settings, out)
 	if err := router.Err(); err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	// SIGHUP stays caught until the process exits, so that one during shutdown does not kill it.
-	signal.Notify(reload, syscall.SIGHUP)
 	if err := router.Start(ctx); err != nil {
 		if ctx.Err() != nil {
 			fmt.Fprintln(out, "event=stopped-at-start err="+fmt.Sprintf("%q", err))
--- a/internal/commander/serve_test.go
+++ b/internal/commander/serve_test.go
@@ -20,6 +20,6 @@
 	cancel()
 	defer cluster.Close(ctx)
 	var out bytes.Buffer
-	c.Assert(runPlatformRouter(ctx, cluster.RouterSettings("a"), "", &out), qt.IsNil)
+	c.Assert(runPlatformRouter(ctx, cluster.RouterSettings("a"), "", nil, &out), qt.IsNil)
 	c.Assert(out.String(), qt.Contains, "event=stopped-at-start")
 }
