Soak servers that end in the middle of responses, and print the logs of failures

A soak that fails now prints the lines of all logs that name a request of a violation, and the last other ones but those of single requests, at most 512 KiB.

The simulated servers serve health requests and responses without a length, and end in the middle of them; TestSoakServersEndInResponses ends one every 1.5 s or so, by turns while it is ready, draining or in a pause that it has asked for. Its connections close before its listening socket.

--- a/internal/relayer/response_end.go
+++ b/internal/relayer/response_end.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -64,7 +65,7 @@
 	if outlived {
 		return nil
 	}
-	return &attemptFailure{sent: true, connectionBroke: true, reason: reason, err: errors.Join(errUnproven, errors.New(string(cause)))}
+	return &attemptFailure{sent: true, connectionBroke: true, reason: reason, err: fmt.Errorf("%w: %s", errUnproven, cause)}
 }
 
 func (e *responseEnd) stop() {
--- a/internal/soaker/fault_proxy_test.go
+++ b/internal/soaker/fault_proxy_test.go
@@ -16,6 +16,8 @@
 	delayNanos atomic.Int64
 	// refuseNew makes the proxy reset new connections.
 	refuseNew atomic.Bool
+	// closeNew makes the proxy close new connections without a byte.
+	closeNew atomic.Bool
 	// stallToTarget and stallFromTarget hold data back in one direction.
 	stallToTarget   atomic.Bool
 	stallFromTarget atomic.Bool
@@ -55,12 +57,32 @@
 }
 
 // crash resets all connections and refuses new ones for a while, as a process that has ended.
-func (p *faultProxy) crash(downtime time.Duration) {
+func (p *faultProxy) crash(downtime time.Duration) { p.end(downtime, p.resetConns, 0) }
+
+// exit closes all connections and then the listening socket, as the kernel does for a process that has ended, and refuses
+// new ones for a while.
+func (p *faultProxy) exit(downtime time.Duration) {
+	p.end(downtime, func() { p.forEachConn((*proxiedConn).close) }, listenerDelay)
+}
+
+// listenerDelay is how long the listening socket of a process outlives its connections.
+const listenerDelay = 20 * time.Millisecond
+
+// end closes the connections and, after a delay, the listening socket.
+func (p *faultProxy) end(downtime time.Duration, closeConns func(), delay time.Duration) {
 	p.mu.Lock()
 	listener := p.listener
 	p.mu.Unlock()
-	listener.Close()
-	p.resetConns()
+	if delay > 0 {
+		p.closeNew.Store(true)
+		closeConns()
+		time.Sleep(delay)
+		listener.Close()
+		p.closeNew.Store(false)
+	} else {
+		listener.Close()
+		closeConns()
+	}
 	time.AfterFunc(downtime, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -79,6 +101,10 @@
 		if err != nil {
 			return
 		}
+		if p.closeNew.Load() {
+			client.Close()
+			continue
+		}
 		if p.refuseNew.Load() {
 			resetConn(client)
 			continue
--- a/internal/soaker/faults_test.go
+++ b/internal/soaker/faults_test.go
@@ -225,6 +225,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if time.Now().After(s.misbehaveUntil) || rng.IntN(3) > 0 {
+		if s.endDuration > 0 && rng.IntN(4) > 0 {
+			return standin.ServeWithoutLength
+		}
 		return s.stallBehavior()
 	}
 	return []standin.Behavior{
--- a/internal/soaker/harness_test.go
+++ b/internal/soaker/harness_test.go
@@ -86,6 +86,9 @@
 	heldBackUntil map[string]time.Time
 	servedCounts  map[string]int
 	requestCounts map[string]int
+	// endDuration is how long servers end in the middle of responses, which have no length then. endRNG draws them.
+	endDuration time.Duration
+	endRNG      *rand.Rand
 	// misbehaveUntil is the time until which backend servers mishandle a third of their requests.
 	misbehaveUntil time.Time
 }
@@ -359,6 +362,7 @@
 		seed:          seed,
 		rng:           rand.New(rand.NewPCG(seed, 2)),
 		stallRNG:      rand.New(rand.NewPCG(seed, 4)),
+		endRNG:        rand.New(rand.NewPCG(seed, 6)),
 		cluster:       cluster,
 		servers:       append(slices.Clone(cluster.ModelServers), cluster.PlainServers...),
 		serverProxies: map[string]*faultProxy{},
@@ -383,6 +387,7 @@
 		cluster.SetServerAddress(server.ID, proxy.address())
 		server.EventInterval = d.eventInterval
 		server.CrashPart, server.CrashBody, server.Crash = string(deadlyPart), deadlyBody, func() { s.crashServer(server) }
+		server.End = func() { s.endServer(server) }
 		server.OnRun = func(id, workspace string) { s.recordExecution(server.ID, id, workspace) }
 		server.OnRequest = func(id string) { s.recordArrival(server, id) }
 		server.ChooseBehavior = func() standin.Behavior { return s.chooseBehavior(behaviorRNG) }
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -55,6 +55,9 @@
 	46000, 46001,
 }
 
+// endSeeds are used by make test for servers that end in the middle of responses.
+var endSeeds = []uint64{19}
+
 const callersPerRouter = 3
 
 // TestSoak runs routers under random faults. It fails if a response is wrong, a request is lost or
@@ -99,8 +102,18 @@
 	runSeeds(t, []uint64{9309}, 0, time.Duration(*secondsFlag)*time.Second)
 }
 
+// Guards against responses without a length that look complete though their server ended in the middle of them, while it
+// was ready, draining or in a pause that it had asked for.
+func TestSoakServersEndInResponses(t *testing.T) {
+	seeds := endSeeds
+	if *seedFlag != 0 {
+		seeds = chosenSeeds()
+	}
+	runSeeds(t, seeds, 0, 0, time.Duration(*secondsFlag)*time.Second)
+}
+
 // runSeeds runs the soak with each of the seeds.
-func runSeeds(t *testing.T, seeds []uint64, plannedDuration, faultDuration time.Duration) {
+func runSeeds(t *testing.T, seeds []uint64, plannedDuration, faultDuration time.Duration, endDuration ...time.Duration) {
 	dir := *logDirFlag
 	if dir == "" {
 		dir = t.TempDir()
@@ -127,6 +140,9 @@
 				t.Fatal(err)
 			}
 			defer s.close()
+			for _, d := range endDuration {
+				s.prepareEnds(d)
+			}
 			s.run(plannedDuration, faultDuration)
 			s.checkLogs(logDir)
 			t.Log(s.summary())
@@ -137,6 +153,9 @@
 				}
 				t.Error(violation)
 			}
+			if len(s.violations) > 0 {
+				t.Log(failureLog(logDir, s.violations))
+			}
 		})
 	}
 }
@@ -161,6 +180,7 @@
 	time.Sleep(time.Second)
 	s.injectPlanned(plannedDuration)
 	s.injectFaults(faultDuration)
+	s.injectEnds(s.endDuration)
 	s.clearFaults()
 	calmSince := time.Now().Add(disturbanceMargin)
 	s.events.Printf("event=faults-cleared calm-after=%v", disturbanceMargin)
