Move the simulated server without a network to platform/standin

Names of the wire belong in platform/ only; the test of the ends of responses had some of its own. TestEndsOfResponsesInEachState, TestBrokenConnectionsAreNotCrashes and TestSilentServersEndWithTheirEntry pass with the race detector (one run), and the packages below platform/.

--- a/internal/conductor/crash_detector_test.go
+++ b/internal/conductor/crash_detector_test.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -21,6 +20,7 @@
 	"papayapaddle/internal/quarantiner"
 	"papayapaddle/internal/sender"
 	"papayapaddle/platform"
+	"papayapaddle/platform/standin"
 )
 
 // newScriptedDetector returns a crash detector whose connections are opened by dial.
@@ -37,26 +37,6 @@
 	return &crashDetector{Check: p.Check, MaySuspect: func(*cataloger.Server) bool { return true }, OnCrash: onCrash}
 }
 
-// respondAs returns a connection to a server that refuses misdirected requests, and executes none.
-func respondAs(id string) net.Conn {
-	client, server := net.Pipe()
-	go func() {
-		defer server.Close()
-		br := bufio.NewReader(server)
-		for {
-			req, err := http.ReadRequest(br)
-			if err != nil || req.Header.Get("Expect-Instance") == id {
-				return
-			}
-			if _, err := fmt.Fprintf(server, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n",
-				id, req.Header.Get("Request-Id")); err != nil {
-				return
-			}
-		}
-	}()
-	return client
-}
-
 // Guards against broken connections that are taken for the end of a server, and ends that are missed: only a server that
 // refuses connections, or whose address another one has, has ended, and none that is shutting down or silent. An accepted
 // connection shows nothing: the listening socket of a killed process closes last.
@@ -75,8 +55,12 @@
 	}{
 		{"it refuses connections", true, func(context.Context, int) (net.Conn, error) { return nil, refused }, 3},
 		{"it is shutting down", false, func(context.Context, int) (net.Conn, error) { return nil, refused }, 0},
-		{"it responds", true, func(context.Context, int) (net.Conn, error) { return respondAs("s"), nil }, 0},
-		{"another server responds", true, func(context.Context, int) (net.Conn, error) { return respondAs("other"), nil }, 3},
+		{"it responds", true, func(ctx context.Context, _ int) (net.Conn, error) {
+			return (&standin.EndServer{ID: "s"}).Dial(ctx, "", "")
+		}, 0},
+		{"another server responds", true, func(ctx context.Context, _ int) (net.Conn, error) {
+			return (&standin.EndServer{ID: "other"}).Dial(ctx, "", "")
+		}, 3},
 		{"its listening socket closes last", true, func(_ context.Context, n int) (net.Conn, error) {
 			if n > 1 {
 				return nil, refused
--- a/internal/conductor/response_end_test.go
+++ b/internal/conductor/response_end_test.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -11,7 +10,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,131 +20,9 @@
 	"papayapaddle/internal/relayer"
 	"papayapaddle/internal/watcher"
 	"papayapaddle/platform"
+	"papayapaddle/platform/standin"
 )
 
-// fate is what becomes of a server once it has sent half of a response.
-type fate string
-
-const (
-	// outlives: the server sends the whole response and lives on.
-	outlives fate = "outlives"
-	// killed: its connections close first, then its listening socket.
-	killed fate = "killed"
-	// replaced: another server has its address by the time that the end is observed.
-	replaced fate = "replaced"
-	// restarted: it serves again under its ID after 300 ms.
-	restarted fate = "restarted"
-	// muted: the end arrives, but nothing after it.
-	muted fate = "muted"
-)
-
-// listenerDelay is how long the listening socket of a killed server outlives its connections.
-const listenerDelay = 20 * time.Millisecond
-
-// endServer is a server in memory whose responses have no length.
-type endServer struct {
-	id string
-	// respond returns the header and the two halves of the response to a request.
-	respond func(id string) (head, first, second string)
-	// pause is the time between the halves.
-	pause time.Duration
-
-	mu     sync.Mutex
-	fate   fate
-	ended  time.Time
-	conns  []net.Conn
-	got    []string
-	paused bool
-}
-
-func (s *endServer) dial(context.Context, string, string) (net.Conn, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	client, server := net.Pipe()
-	since := time.Since(s.ended)
-	switch {
-	case s.ended.IsZero() || s.fate == replaced || s.fate == restarted && since > 300*time.Millisecond:
-		s.conns = append(s.conns, server)
-		go s.serve(server)
-	case s.fate == muted:
-		go func() { _, _ = io.Copy(io.Discard, server) }()
-		s.conns = append(s.conns, server)
-	case since < listenerDelay:
-		_ = server.Close()
-	default:
-		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
-	}
-	return client, nil
-}
-
-func (s *endServer) serve(conn net.Conn) {
-	defer conn.Close()
-	br := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(br)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		if !s.answer(conn, req) {
-			return
-		}
-	}
-}
-
-// answer returns false if the connection ends.
-func (s *endServer) answer(conn net.Conn, req *http.Request) bool {
-	id, expected := req.Header.Get("Request-Id"), req.Header.Get("Expect-Instance")
-	s.mu.Lock()
-	self, silent, paused := s.id, !s.ended.IsZero() && s.fate == muted, s.paused
-	if !s.ended.IsZero() && s.fate == replaced {
-		self = "another"
-	}
-	switch {
-	case expected != self:
-		s.got = append(s.got, "misdirected")
-	case req.URL.Path == "/health":
-		s.got = append(s.got, "health")
-	default:
-		s.got = append(s.got, "request")
-	}
-	begun := len(s.got) > 1
-	s.mu.Unlock()
-	refuse := func(status, header string) bool {
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n", status, id, header)
-		return err == nil
-	}
-	switch {
-	case silent:
-		return true
-	case expected != self:
-		return refuse("421 Misdirected Request", "Instance-Id: "+self+"\r\n")
-	case req.URL.Path == "/health":
-		return refuse("200 OK", "Instance-Id: "+self+"\r\n")
-	case paused && begun:
-		return refuse("503 Service Unavailable", "Not-Executed: 1\r\nRetry-After: 2\r\n")
-	}
-	head, first, second := s.respond(id)
-	if _, err := io.WriteString(conn, head+first); err != nil {
-		return false
-	}
-	time.Sleep(s.pause)
-	s.mu.Lock()
-	if s.fate != outlives {
-		s.ended = time.Now()
-		if s.fate != muted {
-			for _, c := range s.conns {
-				_ = c.Close()
-			}
-		}
-		s.mu.Unlock()
-		return false
-	}
-	s.mu.Unlock()
-	_, _ = io.WriteString(conn, second)
-	return false
-}
-
 // Kinds of responses, as the parts of their bodies and the routes of their requests.
 type responseKind struct {
 	name, path, contentType string
@@ -167,32 +43,18 @@
 	{"no stream, beyond the buffer", "/talk/", "text/plain", strings.Repeat("x", 300<<10), "two", false, true},
 }
 
-// respond returns what a server responds. Another server goes on after the first event of a stream.
-func (k responseKind) respond(resumes bool) func(id string) (head, first, second string) {
-	return func(id string) (string, string, string) {
-		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp\r\nContent-Type: %s\r\nConnection: close\r\n\r\n",
-			id, k.contentType)
-		if resumes && k.contentType == "text/event-stream" {
-			return head, k.second, ""
-		}
-		return head, k.first, k.second
-	}
-}
-
 // serverStates are the states in which a server may be when its response ends.
 var serverStates = []struct {
 	name  string
 	apply func(f *endFleet)
 }{
 	{"ready", func(*endFleet) {}},
-	{"draining", func(f *endFleet) { f.list(serverRow("s1", "draining", 1)) }},
+	{"draining", func(f *endFleet) { f.list(standin.ServerRow("s1", "draining", 1)) }},
 	{"leaving", func(f *endFleet) {
 		f.node.handleServerResponse(f.server, "q", 0, relayer.ResponseInfo{Leaving: true, Instance: "s1"})
 	}},
 	{"paused", func(f *endFleet) {
-		f.first.mu.Lock()
-		f.first.paused = true
-		f.first.mu.Unlock()
+		f.first.SetPaused()
 		f.node.handleServerResponse(f.server, "q", 0, relayer.ResponseInfo{Pause: 2 * time.Second})
 	}},
 	{"unlisted", func(f *endFleet) { f.list(watcher.Row{Key: "s1", Deleted: true}) }},
@@ -204,7 +66,7 @@
 	c             *qt.C
 	node          *node
 	server        *cataloger.Server
-	first, second *endServer
+	first, second *standin.EndServer
 
 	// evacuated is true if the zone of the first server gets no requests.
 	evacuated atomic.Bool
@@ -215,11 +77,6 @@
 	assigned int
 }
 
-func serverRow(id, state string, born int) watcher.Row {
-	return watcher.Row{Key: id, Value: []byte(fmt.Sprintf(
-		`{"service":"s","address":"10.0.0.%s:80","zone":"z","slots":8,"state":%q,"born":%d}`, id[1:], state, born))}
-}
-
 // list writes an entry of a server.
 func (f *endFleet) list(r watcher.Row) {
 	f.mu.Lock()
@@ -241,17 +98,12 @@
 	return out, watcher.Position{Era: 1, Version: f.version}, nil
 }
 
-const endConfig = `{"version":1,"services":[{"name":"s","healthPath":"/health","maxConnections":64}],"routeList":[
-{"name":"read","host":"h","prefix":"/read/","routeKind":"idempotent","timeoutMs":15000,"latencyGoalMs":400,"service":"s","maxAttempts":2},
-{"name":"book","host":"h","prefix":"/book/","routeKind":"non_idempotent","timeoutMs":15000,"latencyGoalMs":400,"service":"s","maxAttempts":1},
-{"name":"chat","host":"h","prefix":"/chat/","routeKind":"streaming","timeoutMs":15000,"latencyGoalMs":400,"gapTargetMs":5000,"service":"s","maxAttempts":2,"resumable":true},
-{"name":"talk","host":"h","prefix":"/talk/","routeKind":"streaming","timeoutMs":15000,"latencyGoalMs":400,"gapTargetMs":5000,"service":"s","maxAttempts":1}]}`
-
 // newEndFleet returns a router whose first server has a fate. It must be closed.
-func newEndFleet(c *qt.C, k responseKind, of fate, pause time.Duration) (f *endFleet, stop func()) {
+func newEndFleet(c *qt.C, k responseKind, of standin.Fate, pause time.Duration) (f *endFleet, stop func()) {
 	f = &endFleet{
-		c: c, first: &endServer{id: "s1", respond: k.respond(false), pause: pause, fate: of},
-		second: &endServer{id: "s2", respond: k.respond(true), fate: outlives},
+		c:      c,
+		first:  &standin.EndServer{ID: "s1", ContentType: k.contentType, First: k.first, Second: k.second, Pause: pause, Fate: of},
+		second: &standin.EndServer{ID: "s2", ContentType: k.contentType, First: k.first, Second: k.second},
 	}
 	r := New(platform.Settings{
 		Name: "a", Limits: platform.ResourceLimits{CPUShare: 1, MemoryMB: 256, MaxDescriptors: 1024},
@@ -262,9 +114,9 @@
 	f.node = n
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		if strings.HasPrefix(address, "10.0.0.1:") {
-			return f.first.dial(ctx, network, address)
+			return f.first.Dial(ctx, network, address)
 		}
-		return f.second.dial(ctx, network, address)
+		return f.second.Dial(ctx, network, address)
 	}
 	n.sender.Dial = dial
 	f.connect(dial)
@@ -272,7 +124,7 @@
 	n.watcher.Now = func() time.Duration { return time.Since(start) + time.Minute }
 	n.watcher.ReadStoreAfter = func() time.Duration { return 10 * time.Millisecond }
 	n.watcher.WaitForPeersUntil, n.watcher.ReadSettledEra, n.watcher.OnSettled, n.watcher.OnEra = nil, nil, nil, nil
-	config := []watcher.Row{{Key: platform.ConfigKey, Value: []byte(endConfig), Version: 1}}
+	config := []watcher.Row{{Key: platform.ConfigKey, Value: []byte(standin.EndConfig), Version: 1}}
 	n.watcher.ConfigTable = watcher.Table{
 		Read: func(context.Context) ([]watcher.Row, watcher.Position, error) {
 			return config, watcher.Position{Era: 1, Version: 1}, nil
@@ -286,8 +138,8 @@
 		Read:    func(ctx context.Context) ([]watcher.Row, watcher.Position, error) { return f.read(ctx, 0) },
 		Changes: f.read, IsHistoryGone: func(error) bool { return false },
 	}
-	f.list(serverRow("s1", "ready", 1))
-	f.list(serverRow("s2", "ready", 1))
+	f.list(standin.ServerRow("s1", "ready", 1))
+	f.list(standin.ServerRow("s2", "ready", 1))
 	ctx, cancel := context.WithCancel(context.Background())
 	go n.watcher.Run(ctx)
 	time.Sleep(100 * time.Millisecond)
@@ -308,13 +160,8 @@
 	return f, func() {
 		cancel()
 		n.sender.RetainServers(nil)
-		for _, s := range []*endServer{f.first, f.second} {
-			s.mu.Lock()
-			for _, c := range s.conns {
-				_ = c.Close()
-			}
-			s.mu.Unlock()
-		}
+		f.first.Close()
+		f.second.Close()
 		// Whatever was kept for the responses expires.
 		time.Sleep(time.Minute)
 		synctest.Wait()
@@ -328,7 +175,7 @@
 		method = http.MethodGet
 	}
 	req := httptest.NewRequest(method, "http://h"+path, nil)
-	req.Header.Set("Request-Id", "q")
+	standin.SetRequestID(req.Header, "q")
 	w, complete = httptest.NewRecorder(), true
 	start := time.Now()
 	func() {
@@ -349,7 +196,7 @@
 func TestEndsOfResponsesInEachState(t *testing.T) {
 	for _, state := range serverStates {
 		for _, k := range responseKinds {
-			for _, of := range []fate{outlives, killed, replaced, restarted, muted} {
+			for _, of := range []standin.Fate{standin.Outlives, standin.Killed, standin.Replaced, standin.Restarted, standin.Muted} {
 				for _, pause := range []time.Duration{0, 500 * time.Millisecond} {
 					t.Run(fmt.Sprintf("%s/%s/%s/%v", state.name, k.name, of, pause), func(t *testing.T) {
 						synctest.Test(t, func(t *testing.T) { checkEnd(t, state.apply, k, of, pause) })
@@ -360,13 +207,10 @@
 	}
 }
 
-func checkEnd(t *testing.T, apply func(*endFleet), k responseKind, of fate, pause time.Duration) {
+func checkEnd(t *testing.T, apply func(*endFleet), k responseKind, of standin.Fate, pause time.Duration) {
 	c := qt.New(t)
 	f, stop := newEndFleet(c, k, of, pause)
-	defer func() {
-		f.first.mu.Unlock()
-		stop()
-	}()
+	defer stop()
 	if pause == 0 {
 		apply(f)
 		time.Sleep(50 * time.Millisecond)
@@ -377,10 +221,9 @@
 	}
 	w, complete, took := f.send(k.path)
 	whole := w.Body.String() == k.first+k.second
-	f.first.mu.Lock()
-	comment := qt.Commentf("status %d, %d bytes, complete %v, after %v, first server got %v", w.Code, w.Body.Len(), complete, took, f.first.got)
+	comment := qt.Commentf("status %d, %d bytes, complete %v, after %v, first server got %v", w.Code, w.Body.Len(), complete, took, f.first.Requests())
 	switch {
-	case of == outlives || k.repeatable:
+	case of == standin.Outlives || k.repeatable:
 		c.Assert(w.Code == http.StatusOK && whole && complete, qt.IsTrue, comment)
 	case k.forwarded:
 		c.Assert(complete, qt.IsFalse, comment)
@@ -389,7 +232,7 @@
 	}
 	// A sound server is proved at once, and one that says nothing is waited for no longer than the timeout.
 	limit := 100 * time.Millisecond
-	if of == muted {
+	if of == standin.Muted {
 		limit = 4 * time.Second
 	}
 	c.Assert(took <= pause+limit, qt.IsTrue, comment)
