--- a/internal/relayer/buffered_attempt.go
+++ b/internal/relayer/buffered_attempt.go
@@ -27,8 +27,10 @@
 	// ended is true once the race has received the end of the attempt.
 	ended bool
 
-	resp    *sender.Response
-	body    []byte
+	resp *sender.Response
+	body []byte
+	// end decides whether the answer is complete. It is nil without an answer.
+	end     *responseEnd
 	failure *attemptFailure
 	// drained is true if the connection can be used again though the answer is not forwarded.
 	drained bool
@@ -38,10 +40,8 @@
 func (a *bufferedAttempt) run(x *exchange) {
 	a.resp, a.failure = x.sendRequest(a.ctx, a.server, a.request)
 	if a.failure == nil {
-		a.body, a.failure = x.bufferBody(a.resp)
-	}
-	if a.failure == nil && x.endedWithServer(a.ctx, a.server, a.resp) {
-		a.failure = &attemptFailure{sent: true, connectionBroke: true, reason: "answer-cut", err: errServerEnded}
+		a.end = x.watchEnd(a.server, a.resp)
+		a.body, a.failure = x.bufferBody(a.ctx, a.resp, a.end)
 	}
 }
 
@@ -95,6 +95,9 @@
 	if failure == nil && !forwarded {
 		x.keepServerError(resp, a.body)
 	}
+	if !forwarded {
+		a.end.stop()
+	}
 	if resp != nil && !forwarded {
 		// A race has tried to drain the response by then.
 		resp.Close(a.drained || a.cancel == nil && drain(resp))
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -288,7 +288,7 @@
 	case a.failure != nil:
 	case failure != nil:
 	case u.end.nonStream:
-		failure, complete = s.handleNonStream(u.end)
+		failure, complete = s.handleNonStream(a.ctx, u.end)
 		if h := x.hedge; failure == nil && h != nil && h.started {
 			h.recordAnswer(a == s.hedged, a.server)
 		}
@@ -302,6 +302,7 @@
 	if resp != nil {
 		resp.Close(complete || u.end.drained)
 	}
+	u.end.responseEnd.stop()
 	a.cancel(nil)
 	if a.failure != nil {
 		return a.failure
--- a/internal/soaker/harness_test.go
+++ b/internal/soaker/harness_test.go
@@ -91,6 +91,9 @@
 	cold          coldServers
 	servedCounts  map[string]int
 	requestCounts map[string]int
+	// endDuration is how long servers end in the middle of responses, which have no length then. endRNG draws them.
+	endDuration time.Duration
+	endRNG      *rand.Rand
 	// misbehaveUntil is the time until which backend servers mishandle a third of their requests.
 	misbehaveUntil time.Time
 }
@@ -291,59 +294,6 @@
 	}
 }
 
-// balancer polls the readiness of the routers, as the platform's load balancer does.
-type balancer struct {
-	processes []*process
-	// failedProbes are the numbers of consecutive failed probes, in the order of processes.
-	failedProbes []atomic.Int32
-	client       http.Client
-}
-
-func (b *balancer) run(s *soak) {
-	for !s.isStopped() {
-		for i, p := range b.processes {
-			go func() {
-				resp, err := b.client.Get("http://" + p.settings.Listen.Ready + platform.ReadyPath)
-				if err == nil {
-					resp.Body.Close()
-				}
-				if err == nil && resp.StatusCode == http.StatusOK {
-					b.failedProbes[i].Store(0)
-				} else {
-					b.failedProbes[i].Add(1)
-				}
-			}()
-		}
-		time.Sleep(time.Second)
-	}
-}
-
-func (b *balancer) inRotation(index int) bool { return b.failedProbes[index].Load() < 2 }
-
-func (b *balancer) allReady() bool {
-	for i := range b.processes {
-		if b.failedProbes[i].Load() > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// pickRouter returns a random router in rotation. If fewer than half of the routers are in
-// rotation, it picks from all of them.
-func (b *balancer) pickRouter(rng *rand.Rand) *process {
-	var candidates []*process
-	for i, p := range b.processes {
-		if b.inRotation(i) {
-			candidates = append(candidates, p)
-		}
-	}
-	if 2*len(candidates) < len(b.processes) {
-		candidates = b.processes
-	}
-	return candidates[rng.IntN(len(candidates))]
-}
-
 // newSoak starts the platform, the backend servers and the proxies, and prepares the routers.
 func newSoak(logDir, binary string, seed uint64, d deployment) (*soak, error) {
 	cluster, err := standin.NewCluster(d.modelServers, d.plainServers)
@@ -364,6 +314,7 @@
 		seed:          seed,
 		rng:           rand.New(rand.NewPCG(seed, 2)),
 		stallRNG:      rand.New(rand.NewPCG(seed, 4)),
+		endRNG:        rand.New(rand.NewPCG(seed, 6)),
 		cluster:       cluster,
 		servers:       append(slices.Clone(cluster.ModelServers), cluster.PlainServers...),
 		serverProxies: map[string]*faultProxy{},
@@ -388,6 +339,7 @@
 		cluster.SetServerAddress(server.ID, proxy.address())
 		server.EventInterval = d.eventInterval
 		server.CrashPart, server.CrashBody, server.Crash = string(deadlyPart), deadlyBody, func() { s.crashServer(server) }
+		server.End = func() { s.endServer(server) }
 		server.OnRun = func(id, workspace string) { s.recordExecution(server.ID, id, workspace) }
 		server.OnRequest = func(id string) { s.recordArrival(server, id) }
 		server.ChooseBehavior = func() standin.Behavior { return s.chooseBehavior(behaviorRNG) }
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -55,6 +55,9 @@
 	46000, 46001,
 }
 
+// endSeeds are used by make test for servers that end in the middle of responses.
+var endSeeds = []uint64{19}
+
 const callersPerRouter = 3
 
 // TestSoak runs routers under random faults. It fails if a response is wrong, a request is lost or
@@ -99,14 +102,27 @@
 	runSeeds(t, []uint64{9309}, 0, time.Duration(*secondsFlag)*time.Second)
 }
 
+// Guards against responses without a length that look complete though their server ended in the middle of them, while it
+// was ready, draining or in a pause that it had asked for.
+func TestSoakServersEndInResponses(t *testing.T) {
+	seeds := endSeeds
+	if *seedFlag != 0 {
+		seeds = chosenSeeds()
+	}
+	duration := time.Duration(*secondsFlag) * time.Second
+	runDeployments(t, seeds, 0, 0, faults, func(*deployment) {}, func(s *soak) { s.prepareEnds(duration) })
+}
+
 // runSeeds runs the soak with each of the seeds.
 func runSeeds(t *testing.T, seeds []uint64, plannedDuration, faultDuration time.Duration) {
 	runDeployments(t, seeds, plannedDuration, faultDuration, faults, func(*deployment) {})
 }
 
-// runDeployments runs the soak with each of the seeds, on adjusted deployments and with the faults drawn from the given ones.
+// runDeployments runs the soak with each of the seeds, on adjusted deployments and with the faults drawn from the given ones, once
+// the soak is prepared.
 func runDeployments(
 	t *testing.T, seeds []uint64, plannedDuration, faultDuration time.Duration, drawn []fault, adjust func(*deployment),
+	prepare ...func(*soak),
 ) {
 	dir := *logDirFlag
 	if dir == "" {
@@ -136,6 +152,9 @@
 			}
 			defer s.close()
 			s.faults = drawn
+			for _, f := range prepare {
+				f(s)
+			}
 			s.run(plannedDuration, faultDuration)
 			s.checkLogs(logDir)
 			t.Log(s.summary())
@@ -146,6 +165,9 @@
 				}
 				t.Error(violation)
 			}
+			if len(s.violations) > 0 {
+				t.Log(failureLog(logDir, s.violations))
+			}
 		})
 	}
 }
@@ -173,6 +195,7 @@
 	}
 	s.injectPlanned(plannedDuration)
 	s.injectFaults(faultDuration)
+	s.injectEnds(s.endDuration)
 	s.clearFaults()
 	calmSince := time.Now().Add(disturbanceMargin)
 	s.events.Printf("event=faults-cleared calm-after=%v", disturbanceMargin)
