--- a/internal/soaker/harness_test.go
+++ b/internal/soaker/harness_test.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"papayapaddle/platform"
 	"papayapaddle/platform/standin"
 )
 
