Remove health requests that wait for a start at a cold server

Cause: the proof that a server outlived its response needs no health request where one would count at a cold server, so nothing used them.

--- a/internal/allocator/cold.go
+++ b/internal/allocator/cold.go
@@ -1,7 +1,6 @@
 package allocator
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -80,16 +79,3 @@
 	}
 	return a.withoutAvoided(servers, req.ExcludedServers, home)
 }
-
-// TakeStart waits until a request of this router's own may start on a server. Such a request ends soon and occupies no slot
-// any longer.
-func (a *Allocator) TakeStart(ctx context.Context, req *SlotRequest, server *cataloger.Server) (Grant, bool) {
-	ask, reply, refusal := a.askServer(ctx, req, server, false)
-	if refusal != nil {
-		return Grant{}, false
-	}
-	if req.Service.Engine != nil {
-		a.sendCancel(reply.owner, ask)
-	}
-	return reply.grant, true
-}
--- a/internal/conductor/cold.go
+++ b/internal/conductor/cold.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"context"
 	"math"
 	"slices"
 	"sync"
@@ -20,8 +19,6 @@
 )
 
 const (
-	// probeStartTimeout limits how long a health request waits until it may start at a cold server.
-	probeStartTimeout = time.Second
 	// unseenRestart is how long after its end a server may start again without the routers seeing it: its entry lapses
 	// after three heartbeats.
 	unseenRestart = 3600 * time.Millisecond
@@ -274,31 +271,6 @@
 	return a
 }
 
-// mayStartProbe reports whether a health request may be sent to a server now. It counts as a request, so that at a cold
-// server its owner must let it start. The function waits for that, at most until the context is done.
-func (n *node) mayStartProbe(ctx context.Context, s *cataloger.Server) bool {
-	if !n.isCold(s.ID) {
-		return true
-	}
-	catalog := n.watcher.Catalog()
-	if catalog == nil || catalog.Services[s.Service] == nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, probeStartTimeout)
-	defer cancel()
-	now := time.Now()
-	grant, ok := n.allocator.TakeStart(ctx, &allocator.SlotRequest{
-		Service: catalog.Services[s.Service], Arrived: now, FirstEventBy: now.Add(probeStartTimeout), Deadline: now.Add(probeStartTimeout),
-		Resumed: true,
-	}, s)
-	if !ok || !n.mayUseGrant(s, grant) {
-		n.metrics.increment("cold-probes-refused")
-		return false
-	}
-	n.metrics.increment("cold-starts")
-	return true
-}
-
 // coldMillis returns how many milliseconds longer servers stay cold, by ID, for the state dump.
 func (n *node) coldMillis() map[string]int64 {
 	out := map[string]int64{}
