conductor: a late end of an evacuation makes no other router's servers cold

Cause: a router that was suspended or cut off while an evacuation ended took the servers of the zone for cold when it learned of the end, and gossip made all routers take them for cold once more.

Change: evacuator.Change.Recent says that this router read the change in the store soon after it had confirmed the set before. Otherwise the period is recorded for this router only (ColdServers.RecordLocally). A period that is not passed on no longer counts as told to peers.

--- a/internal/conductor/cold.go
+++ b/internal/conductor/cold.go
@@ -206,15 +206,24 @@
 	}
 }
 
-// beginColdInZone makes the servers of a zone cold whose evacuation has ended. Their entries may say so only later.
-func (n *node) beginColdInZone(zone string) {
+// beginColdInZone makes the servers of a zone cold whose evacuation has ended. Their entries may say so only later. Each
+// router learns of the end by itself, and one that learns of it late must not make the others start the period again, so
+// that peers are told only if the end is recent.
+func (n *node) beginColdInZone(zone string, recent bool) {
 	set := n.watcher.ServerSet()
 	if set == nil {
 		return
 	}
+	record := n.cold.servers.RecordLocally
+	if recent {
+		record = n.cold.servers.Record
+	}
 	for _, s := range set.ByID {
-		if s.AvailabilityZone == zone {
-			n.beginCold(s, pacer.ColdEvacuation, 0)
+		if s.AvailabilityZone != zone {
+			continue
+		}
+		if service, _ := n.coldService(s.ID); service != nil && service.ColdPerSecond > 0 {
+			n.logCold(record(timer.SinceBoot(), pacer.ColdEvacuation, s.ID, s.StartedUnixMilli, service.ColdStart))
 		}
 	}
 }
--- a/internal/conductor/cold_test.go
+++ b/internal/conductor/cold_test.go
@@ -9,6 +9,7 @@
 
 	"papayapaddle/internal/admitter"
 	"papayapaddle/internal/allocator"
+	"papayapaddle/internal/evacuator"
 	"papayapaddle/internal/pacer"
 	"papayapaddle/internal/relayer"
 	"papayapaddle/internal/timer"
@@ -236,3 +237,20 @@
 	cold, _ = inZone("here")
 	c.Assert(cold, qt.Equals, 0)
 }
+
+// Guards against a router that learns of the end of an evacuation late, as it was suspended or cut off, and makes the other
+// routers take the zone's servers for cold once more.
+func TestLateEndOfEvacuationIsNotPassedOn(t *testing.T) {
+	c := qt.New(t)
+	f := newColdFleet(c, "a")
+	n := f.routers["a"].node
+	s := f.cluster.PlainServers[0]
+	end := evacuator.Change{Zone: f.cluster.ServerZone(s.ID)}
+	news := func() []pacer.ColdNews { return n.cold.servers.ForPeer(timer.SinceBoot(), 0).News }
+	n.handleEvacuationChanges([]evacuator.Change{end})
+	c.Check(n.isCold(s.ID), qt.IsTrue)
+	c.Check(news(), qt.HasLen, 0)
+	end.Recent = true
+	n.handleEvacuationChanges([]evacuator.Change{end})
+	c.Check(len(news()) > 0, qt.IsTrue)
+}
--- a/internal/conductor/evacuation.go
+++ b/internal/conductor/evacuation.go
@@ -175,7 +175,7 @@
 func (n *node) handleEvacuationChanges(changes []evacuator.Change, logFields ...any) {
 	for _, c := range changes {
 		if !c.Began {
-			n.beginColdInZone(c.Zone)
+			n.beginColdInZone(c.Zone, c.Recent)
 		}
 	}
 	n.watcher.RefreshServers()
--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -43,6 +43,9 @@
 	Began bool
 	// After is how long an evacuation that ends was in force at this router.
 	After time.Duration
+	// Recent is true if the change is at most maxGap old: this router has read it in the store, and the set before was
+	// confirmed shortly before.
+	Recent bool
 }
 
 // Result is what became of a set.
@@ -100,6 +103,11 @@
 		delete(e.held, zone)
 	}
 	out.Changes = e.replace(now, s)
+	if age, confirmed := e.Age(now); fromStore && confirmed && age <= maxGap {
+		for i := range out.Changes {
+			out.Changes[i].Recent = true
+		}
+	}
 	return out
 }
 
--- a/internal/evacuator/evacuator_test.go
+++ b/internal/evacuator/evacuator_test.go
@@ -94,3 +94,27 @@
 	e.Confirm(now)
 	c.Assert(e.Resuming(now), qt.IsFalse)
 }
+
+// Guards against changes that count as recent though this router has learned of them late, from a peer, or at its start.
+func TestRecentChanges(t *testing.T) {
+	c := qt.New(t)
+	var e Evacuator
+	now := time.Hour
+	for version, step := range []struct {
+		after                 time.Duration
+		zones                 string
+		fromStore, wantRecent bool
+	}{
+		{0, "a", true, false},
+		{maxGap, "", true, true},
+		{maxGap + 1, "a", true, false},
+		{time.Millisecond, "", false, false},
+	} {
+		now += step.after
+		set := Set{watcher.Position{Era: 1, Version: uint64(version)}, strings.Fields(step.zones)}
+		changes := e.Apply(now, set, step.fromStore).Changes
+		e.Confirm(now)
+		c.Assert(changes, qt.HasLen, 1)
+		c.Check(changes[0].Recent, qt.Equals, step.wantRecent, qt.Commentf("%+v", step))
+	}
+}
--- a/internal/pacer/cold.go
+++ b/internal/pacer/cold.go
@@ -189,6 +189,16 @@
 	return c.apply(nil, now, cause, ColdNews{Server: server, StartedUnixMilli: startedUnixMilli, Remaining: remaining})
 }
 
+// RecordLocally does the same as Record, but peers are not told through gossip.
+func (c *ColdServers) RecordLocally(now time.Duration, cause ColdCause, server string, startedUnixMilli int64, remaining time.Duration) []ColdChange {
+	if remaining <= 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.apply(nil, now, cause, ColdNews{Server: server, StartedUnixMilli: startedUnixMilli, Remaining: remaining, Hops: maxColdHops})
+}
+
 // ApplyNews applies what a peer knows.
 func (c *ColdServers) ApplyNews(now time.Duration, news []ColdNews) (changes []ColdChange) {
 	if len(news) == 0 {
@@ -241,12 +251,9 @@
 		p.statedUntil, p.hops = until, n.Hops
 	}
 	until := p.until()
-	if until > p.told+coldSlack {
-		p.told = until
-		if n.Hops < maxColdHops {
-			c.sequence++
-			p.changedAt = c.sequence
-		}
+	if until > p.told+coldSlack && n.Hops < maxColdHops {
+		c.sequence++
+		p.told, p.changedAt = until, c.sequence
 	}
 	began := !p.reported && until > now
 	if !began && until <= before {
