conductor: a server that has just started counts as cold before it gets requests

Cause: a new list of servers was in use before the router looked for starts in it, and waiting requests of a server that had started again were let go by RetainServers before that. TestServersAreColdBeforeTheyAreUsed found the new server usable and not cold.

Change: watcher.BeforeServers is called before a set of servers is used; the starts are logged afterwards.

Result: go test -race of watcher and of conductor's tests with Cold in the name passes.

--- a/internal/conductor/cold.go
+++ b/internal/conductor/cold.go
@@ -34,6 +34,9 @@
 	hadTraffic atomic.Bool
 	// share holds the bits of the share of the fleet that this router reaches.
 	share atomic.Uint64
+	// observed are the changes that the last list of servers has shown. Only the callbacks of the watcher use it, which
+	// are never called at the same time.
+	observed []pacer.ColdChange
 
 	mu     sync.Mutex
 	tenure pacer.Tenure
@@ -176,7 +179,7 @@
 	n.cold.tenure.Update(timer.SinceBoot(), n.cold.owned, share, n.routersListedAt.Load() > 0)
 }
 
-// observeColdServers learns from the entries of servers which of them are cold.
+// observeColdServers learns from the entries of servers which of them are cold, before requests can be sent to them.
 func (n *node) observeColdServers(set *watcher.ServerSet) {
 	catalog := n.watcher.Catalog()
 	listed := make([]pacer.ListedServer, 0, len(set.ByID))
@@ -187,7 +190,13 @@
 		}
 		listed = append(listed, l)
 	}
-	n.logCold(n.cold.servers.Observe(timer.SinceBoot(), time.Now(), listed, n.cold.hadTraffic.Load()))
+	n.cold.observed = n.cold.servers.Observe(timer.SinceBoot(), time.Now(), listed, n.cold.hadTraffic.Load())
+}
+
+// logObservedCold logs what observeColdServers has found, once the servers are listed.
+func (n *node) logObservedCold() {
+	n.logCold(n.cold.observed)
+	n.cold.observed = nil
 }
 
 // recordCold learns from a response of a server that it is cold.
--- a/internal/conductor/cold_test.go
+++ b/internal/conductor/cold_test.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"io"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"papayapaddle/internal/pacer"
 	"papayapaddle/internal/relayer"
 	"papayapaddle/internal/timer"
+	"papayapaddle/internal/watcher"
 	"papayapaddle/platform/standin"
 )
 
@@ -254,3 +256,30 @@
 	n.handleEvacuationChanges([]evacuator.Change{end})
 	c.Check(len(news()) > 0, qt.IsTrue)
 }
+
+// Guards against requests that reach a server that has just started after it is listed and before it counts as cold.
+func TestServersAreColdBeforeTheyAreUsed(t *testing.T) {
+	c := qt.New(t)
+	f := newColdFleet(c, "a")
+	running := f.routers["a"].node
+	n := New(f.settings["a"], io.Discard).node
+	raw, _ := running.watcher.RawConfig(0)
+	_, err := n.watcher.InstallConfig(raw, "a")
+	c.Assert(err, qt.IsNil)
+	n.cold.hadTraffic.Store(true)
+	rows, full := running.watcher.ServerRows(watcher.Position{Era: 1 << 32})
+	c.Assert(full, qt.IsTrue)
+	started, known := rows[len(rows)-1].Key, false
+	next := n.watcher.OnServers
+	n.watcher.OnServers = func(set *watcher.ServerSet) {
+		s := set.ByID[started]
+		known = known || s != nil && n.watcher.Usable(s) && n.isCold(started)
+		next(set)
+	}
+	n.evacuations.applyStore(nil, watcher.Position{}, timer.SinceBoot())
+	for i, present := range [][]watcher.Row{rows[:len(rows)-1], rows} {
+		n.watcher.ApplyPeerRows(present, true, watcher.Position{Version: rows[len(rows)-1].Version + uint64(i)}, 0, false)
+	}
+	c.Check(n.isCold(started), qt.IsTrue)
+	c.Check(known, qt.IsTrue)
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -310,7 +310,7 @@
 	n.budgeter, n.sender, n.relayer = b, s, r
 	n.quarantiner, n.crashDetector = q, d
 	n.evacuations.watcher = w
-	w.OnServers = n.handleServerChange
+	w.BeforeServers, w.OnServers = n.observeColdServers, n.handleServerChange
 	m.OnUpdatesLost = func(address string, outcomes int, err error) {
 		n.log("settle-lost", "peer", address, "outcomes", outcomes, "err", err)
 	}
@@ -336,7 +336,7 @@
 	n.setReleases(set)
 	n.retainExclusions(set)
 	n.retainLimits(set)
-	n.observeColdServers(set)
+	n.logObservedCold()
 	n.crashDetector.handleServerList(set.ByID)
 }
 
--- a/internal/watcher/servers.go
+++ b/internal/watcher/servers.go
@@ -260,6 +260,9 @@
 			set.ByService[s.Service] = append(set.ByService[s.Service], s)
 		}
 	}
+	if w.BeforeServers != nil {
+		w.BeforeServers(set)
+	}
 	w.serverSet.Store(set)
 	if w.OnServers != nil {
 		w.OnServers(set)
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -94,9 +94,10 @@
 	// waits for its peers' data before it reads the store. nil means that it does not wait.
 	WaitForPeersUntil func() time.Duration
 	Log               func(event string, keyvals ...any)
-	// OnCatalog and OnServers, if set, are called after changes.
-	OnCatalog func(*cataloger.Catalog)
-	OnServers func(*ServerSet)
+	// OnCatalog and OnServers, if set, are called after changes, and BeforeServers before a new set of servers is used.
+	OnCatalog     func(*cataloger.Catalog)
+	BeforeServers func(*ServerSet)
+	OnServers     func(*ServerSet)
 	// ReadSettledEra, if set, reads the era that OnSettled was called with last, by any router, and the store's
 	// current one.
 	ReadSettledEra func(ctx context.Context) (settled, era uint64, err error)
