pacer: starts, too, are passed on over three routers at most

Cause: news of a start had no hops of its own, so that each router passed it on as if it had seen the start; the script shows hops 0 after two routers.

Change: a period that begins with a peer's news takes over its hops.

--- a/internal/pacer/cold.go
+++ b/internal/pacer/cold.go
@@ -233,7 +233,7 @@
 			c.periods = map[string]*coldPeriod{}
 		}
 		// The period of the incarnation before does not count.
-		p = &coldPeriod{startedUnixMilli: n.StartedUnixMilli, reported: p != nil && p.reported}
+		p = &coldPeriod{startedUnixMilli: n.StartedUnixMilli, hops: n.Hops, reported: p != nil && p.reported}
 		c.periods[n.Server] = p
 		c.periodCount.Store(int64(len(c.periods)))
 	}
