conductor: unusable grants for cold servers end the search if no warm server is left

Cause: a request whose grants may not be used, since the owners are of the release before or take the servers for warm already, asked for each server of its service in turn. TestUnusableGrantsEndSearch saw all three asked; with 140 servers each request would cost as many calls between routers.

Change: after two such grants the request is refused with server-cold unless a warm server is left.

--- a/internal/conductor/assignment.go
+++ b/internal/conductor/assignment.go
@@ -24,6 +24,12 @@
 	// maxLimitedTried is the number of servers of a plain service whose owners are asked for one call. Each costs a
 	// round trip.
 	maxLimitedTried = 3
+	// maxColdGivenBack is the number of grants for cold servers after which a call is refused if no warm server is left.
+	// While the owners do not know that their servers are cold, or are of the release before, the next server's grant is
+	// hardly of more use.
+	maxColdGivenBack = 2
+	// coldGrantRetryAfter is the retry delay after that many. Routers agree on a cold period within a second.
+	coldGrantRetryAfter = time.Second
 )
 
 // assignServer assigns a server to a call: a slot on a model server, which the server's owner
@@ -32,6 +38,7 @@
 // assigned.
 func (n *node) assignServer(ctx context.Context, c *relayer.Call) (*relayer.Assignment, *relayer.Refusal) {
 	n.cold.hadTraffic.Store(true)
+	coldGivenBack := 0
 	for {
 		assignment, r := n.tryAssignServer(ctx, c)
 		if r != nil {
@@ -43,15 +50,27 @@
 			reason = n.givenBackReason(assignment.Server)
 		case assignment.MaySend != nil && !assignment.MaySend():
 			reason = "it is cold"
+			coldGivenBack++
 		default:
 			return n.countRunning(assignment), nil
 		}
 		assignment.Release(relayer.AttemptResult{Inconclusive: true})
 		n.log("place-given-back", "request", c.ID, "server", assignment.Server.ID, "why", reason)
 		c.ExcludedServers = append(c.ExcludedServers, assignment.Server.ID)
+		if coldGivenBack >= maxColdGivenBack && !n.hasWarmServer(c) {
+			return nil, &relayer.Refusal{Reason: string(admitter.ReasonServerCold), RetryAfter: coldGrantRetryAfter}
+		}
 	}
 }
 
+// hasWarmServer reports whether a call has a server left that is neither cold nor was a moment ago.
+func (n *node) hasWarmServer(c *relayer.Call) bool {
+	set := n.watcher.ServerSet()
+	return set != nil && slices.ContainsFunc(set.ByService[c.Service.Name], func(s *cataloger.Server) bool {
+		return !n.isColdOrWarming(s.ID) && !slices.Contains(c.ExcludedServers, s.ID)
+	})
+}
+
 func (n *node) tryAssignServer(ctx context.Context, c *relayer.Call) (*relayer.Assignment, *relayer.Refusal) {
 	set := n.watcher.ServerSet()
 	if r := n.pausedRefusal(set, c); r != nil {
--- a/internal/conductor/cold_test.go
+++ b/internal/conductor/cold_test.go
@@ -10,6 +10,7 @@
 
 	"papayapaddle/internal/admitter"
 	"papayapaddle/internal/allocator"
+	"papayapaddle/internal/cataloger"
 	"papayapaddle/internal/evacuator"
 	"papayapaddle/internal/pacer"
 	"papayapaddle/internal/relayer"
@@ -260,15 +261,8 @@
 // Guards against requests that reach a server that has just started after it is listed and before it counts as cold.
 func TestServersAreColdBeforeTheyAreUsed(t *testing.T) {
 	c := qt.New(t)
-	f := newColdFleet(c, "a")
-	running := f.routers["a"].node
-	n := New(f.settings["a"], io.Discard).node
-	raw, _ := running.watcher.RawConfig(0)
-	_, err := n.watcher.InstallConfig(raw, "a")
-	c.Assert(err, qt.IsNil)
+	n, rows := newColdNode(c)
 	n.cold.hadTraffic.Store(true)
-	rows, full := running.watcher.ServerRows(watcher.Position{Era: 1 << 32})
-	c.Assert(full, qt.IsTrue)
 	started, known := rows[len(rows)-1].Key, false
 	next := n.watcher.OnServers
 	n.watcher.OnServers = func(set *watcher.ServerSet) {
@@ -276,10 +270,40 @@
 		known = known || s != nil && n.watcher.Usable(s) && n.isCold(started)
 		next(set)
 	}
-	n.evacuations.applyStore(nil, watcher.Position{}, timer.SinceBoot())
 	for i, present := range [][]watcher.Row{rows[:len(rows)-1], rows} {
 		n.watcher.ApplyPeerRows(present, true, watcher.Position{Version: rows[len(rows)-1].Version + uint64(i)}, 0, false)
 	}
 	c.Check(n.isCold(started), qt.IsTrue)
 	c.Check(known, qt.IsTrue)
 }
+
+// newColdNode returns a router that does not run, and entries of servers that it may apply.
+func newColdNode(c *qt.C) (*node, []watcher.Row) {
+	f := newColdFleet(c, "a")
+	n := New(f.settings["a"], io.Discard).node
+	raw, _ := f.routers["a"].node.watcher.RawConfig(0)
+	_, err := n.watcher.InstallConfig(raw, "a")
+	c.Assert(err, qt.IsNil)
+	n.evacuations.applyStore(nil, watcher.Position{}, timer.SinceBoot())
+	rows, full := f.routers["a"].node.watcher.ServerRows(watcher.Position{Era: 1 << 32})
+	c.Assert(full, qt.IsTrue)
+	return n, rows
+}
+
+// Guards against a request that asks for all servers of a service in turn, since their owners grant what may not be used: they
+// are of the release before, or take the servers for warm already.
+func TestUnusableGrantsEndSearch(t *testing.T) {
+	c := qt.New(t)
+	n, rows := newColdNode(c)
+	n.allocator.Admitter.Cold = nil
+	n.watcher.ApplyPeerRows(rows, true, watcher.Position{Version: rows[len(rows)-1].Version}, 0, false)
+	for _, s := range n.watcher.ServerSet().ByID {
+		n.beginCold(s, pacer.ColdResponse, time.Minute)
+	}
+	now := time.Now()
+	service := n.watcher.Catalog().Services[standin.ModelService]
+	call := &relayer.Call{Service: service, Route: &cataloger.Route{LatencyObjective: time.Second}, Arrived: now, Deadline: now.Add(time.Minute)}
+	_, refusal := n.assignServer(t.Context(), call)
+	c.Assert(refusal.Reason, qt.Equals, string(admitter.ReasonServerCold))
+	c.Assert(call.ExcludedServers, qt.HasLen, maxColdGivenBack)
+}
