--- a/internal/conductor/cold.go
+++ b/internal/conductor/cold.go
@@ -31,6 +31,9 @@
 	hadTraffic atomic.Bool
 	// share holds the bits of the share of the fleet that this router reaches.
 	share atomic.Uint64
+	// observed are the changes that the last list of servers has shown. Only the callbacks of the watcher use it, which
+	// are never called at the same time.
+	observed []pacer.ColdChange
 
 	mu     sync.Mutex
 	tenure pacer.Tenure
@@ -173,7 +176,7 @@
 	n.cold.tenure.Update(timer.SinceBoot(), n.cold.owned, share, n.routersListedAt.Load() > 0)
 }
 
-// observeColdServers learns from the entries of servers which of them are cold.
+// observeColdServers learns from the entries of servers which of them are cold, before requests can be sent to them.
 func (n *node) observeColdServers(set *watcher.ServerSet) {
 	catalog := n.watcher.Catalog()
 	listed := make([]pacer.ListedServer, 0, len(set.ByID))
@@ -184,7 +187,13 @@
 		}
 		listed = append(listed, l)
 	}
-	n.logCold(n.cold.servers.Observe(timer.SinceBoot(), time.Now(), listed, n.cold.hadTraffic.Load()))
+	n.cold.observed = n.cold.servers.Observe(timer.SinceBoot(), time.Now(), listed, n.cold.hadTraffic.Load())
+}
+
+// logObservedCold logs what observeColdServers has found, once the servers are listed.
+func (n *node) logObservedCold() {
+	n.logCold(n.cold.observed)
+	n.cold.observed = nil
 }
 
 // recordCold learns from a response of a server that it is cold.
@@ -203,15 +212,24 @@
 	}
 }
 
-// beginColdInZone makes the servers of a zone cold whose evacuation has ended. Their entries may say so only later.
-func (n *node) beginColdInZone(zone string) {
+// beginColdInZone makes the servers of a zone cold whose evacuation has ended. Their entries may say so only later. Each
+// router learns of the end by itself, and one that learns of it late must not make the others start the period again, so
+// that peers are told only if the end is recent.
+func (n *node) beginColdInZone(zone string, recent bool) {
 	set := n.watcher.ServerSet()
 	if set == nil {
 		return
 	}
+	record := n.cold.servers.RecordLocally
+	if recent {
+		record = n.cold.servers.Record
+	}
 	for _, s := range set.ByID {
-		if s.AvailabilityZone == zone {
-			n.beginCold(s, pacer.ColdEvacuation, 0)
+		if s.AvailabilityZone != zone {
+			continue
+		}
+		if service, _ := n.coldService(s.ID); service != nil && service.ColdPerSecond > 0 {
+			n.logCold(record(timer.SinceBoot(), pacer.ColdEvacuation, s.ID, s.StartedUnixMilli, service.ColdStart))
 		}
 	}
 }
--- a/internal/conductor/cold_test.go
+++ b/internal/conductor/cold_test.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"io"
 	"sync"
 	"testing"
 	"time"
@@ -9,9 +10,12 @@
 
 	"papayapaddle/internal/admitter"
 	"papayapaddle/internal/allocator"
+	"papayapaddle/internal/cataloger"
+	"papayapaddle/internal/evacuator"
 	"papayapaddle/internal/pacer"
 	"papayapaddle/internal/relayer"
 	"papayapaddle/internal/timer"
+	"papayapaddle/internal/watcher"
 	"papayapaddle/platform/standin"
 )
 
@@ -214,3 +218,70 @@
 	cold, _ = inZone("here")
 	c.Assert(cold, qt.Equals, 0)
 }
+
+// Guards against a router that learns of the end of an evacuation late, as it was suspended or cut off, and makes the other
+// routers take the zone's servers for cold once more.
+func TestLateEndOfEvacuationIsNotPassedOn(t *testing.T) {
+	c := qt.New(t)
+	f := newColdFleet(c, "a")
+	n := f.routers["a"].node
+	s := f.cluster.PlainServers[0]
+	end := evacuator.Change{Zone: f.cluster.ServerZone(s.ID)}
+	news := func() []pacer.ColdNews { return n.cold.servers.ForPeer(timer.SinceBoot(), 0).News }
+	n.handleEvacuationChanges([]evacuator.Change{end})
+	c.Check(n.isCold(s.ID), qt.IsTrue)
+	c.Check(news(), qt.HasLen, 0)
+	end.Recent = true
+	n.handleEvacuationChanges([]evacuator.Change{end})
+	c.Check(len(news()) > 0, qt.IsTrue)
+}
+
+// Guards against requests that reach a server that has just started after it is listed and before it counts as cold.
+func TestServersAreColdBeforeTheyAreUsed(t *testing.T) {
+	c := qt.New(t)
+	n, rows := newColdNode(c)
+	n.cold.hadTraffic.Store(true)
+	started, known := rows[len(rows)-1].Key, false
+	next := n.watcher.OnServers
+	n.watcher.OnServers = func(set *watcher.ServerSet) {
+		s := set.ByID[started]
+		known = known || s != nil && n.watcher.Usable(s) && n.isCold(started)
+		next(set)
+	}
+	for i, present := range [][]watcher.Row{rows[:len(rows)-1], rows} {
+		n.watcher.ApplyPeerRows(present, true, watcher.Position{Version: rows[len(rows)-1].Version + uint64(i)}, 0, false)
+	}
+	c.Check(n.isCold(started), qt.IsTrue)
+	c.Check(known, qt.IsTrue)
+}
+
+// newColdNode returns a router that does not run, and entries of servers that it may apply.
+func newColdNode(c *qt.C) (*node, []watcher.Row) {
+	f := newColdFleet(c, "a")
+	n := New(f.settings["a"], io.Discard).node
+	raw, _ := f.routers["a"].node.watcher.RawConfig(0)
+	_, err := n.watcher.InstallConfig(raw, "a")
+	c.Assert(err, qt.IsNil)
+	n.evacuations.applyStore(nil, watcher.Position{}, timer.SinceBoot())
+	rows, full := f.routers["a"].node.watcher.ServerRows(watcher.Position{Era: 1 << 32})
+	c.Assert(full, qt.IsTrue)
+	return n, rows
+}
+
+// Guards against a request that asks for all servers of a service in turn, since their owners grant what may not be used: they
+// are of the release before, or take the servers for warm already.
+func TestUnusableGrantsEndSearch(t *testing.T) {
+	c := qt.New(t)
+	n, rows := newColdNode(c)
+	n.allocator.Admitter.Cold = nil
+	n.watcher.ApplyPeerRows(rows, true, watcher.Position{Version: rows[len(rows)-1].Version}, 0, false)
+	for _, s := range n.watcher.ServerSet().ByID {
+		n.beginCold(s, pacer.ColdResponse, time.Minute)
+	}
+	now := time.Now()
+	service := n.watcher.Catalog().Services[standin.ModelService]
+	call := &relayer.Call{Service: service, Route: &cataloger.Route{LatencyObjective: time.Second}, Arrived: now, Deadline: now.Add(time.Minute)}
+	_, refusal := n.assignServer(t.Context(), call)
+	c.Assert(refusal.Reason, qt.Equals, string(admitter.ReasonServerCold))
+	c.Assert(call.ExcludedServers, qt.HasLen, maxColdGivenBack)
+}
