Mend a race in sender and the clock of a test; flooder's tests run apart

A connection was read after it had been given back to the pool (DATA RACE in TestSoakColdServers). TestEndsOfResponsesInEachState ran the watcher on virtual time and the evacuations on the real clock, so that the store was read without end. The router of TestHeadsWithoutEndAtRefusals went over its memory beside the other packages' tests. Change: the flag is read before the connection is given back; the evacuations of the test use its clock; the unit target runs flooder by itself.

--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,12 @@
 	go tool staticcheck ./...
 
 # Beside other load the race tests of conductor come close to the ten minutes that go test allows by default.
+GO_TEST = RAPID_SEED=$(RAPID_SEED) go test -race -count=1 -timeout 40m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+
+# The tests of flooder bound the memory of processes, whose garbage collector must not wait for other tests.
 unit:
-	RAPID_SEED=$(RAPID_SEED) go test -race -count=1 -timeout 40m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO_TEST) $$(go list ./... | grep -v '/internal/flooder$$')
+	$(GO_TEST) ./internal/flooder
 
 build:
 	go build -o bin/papayapaddle ./cmd/papayapaddle
--- a/internal/conductor/response_end_test.go
+++ b/internal/conductor/response_end_test.go
@@ -122,6 +122,7 @@
 	f.connect(dial)
 	start := time.Now()
 	n.watcher.Now = func() time.Duration { return time.Since(start) + time.Minute }
+	n.evacuations.now = n.watcher.Now
 	n.watcher.ReadStoreAfter = func() time.Duration { return 10 * time.Millisecond }
 	n.watcher.WaitForPeersUntil, n.watcher.ReadSettledEra, n.watcher.OnSettled, n.watcher.OnEra = nil, nil, nil, nil
 	config := []watcher.Row{{Key: platform.ConfigKey, Value: []byte(standin.EndConfig), Version: 1}}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -222,9 +222,10 @@
 	cancelWatch := context.AfterFunc(ctx, func() { c.Close() })
 	resp, err := c.roundTrip(r)
 	if errors.Is(err, ErrWithdrawn) && cancelWatch() {
-		// The request may be assigned to the same server again.
+		// The request may be assigned to the same server again. Another one may take the connection at once.
+		reused := c.reused
 		c.keepUnused()
-		return nil, c.reused, failer.Wrap("send", KindNotSent, err)
+		return nil, reused, failer.Wrap("send", KindNotSent, err)
 	}
 	if err != nil {
 		cancelWatch()
