--- a/internal/rehearser/cold.go
+++ b/internal/rehearser/cold.go
@@ -42,7 +42,7 @@
 		})
 		// The entry was written 0.8 s before, and is counted from when it is read.
 		sim.schedule(start+coldNewsDelay, func() {
-			sim.coldPerSecond = e.LimitPerSecond
+			sim.coldRate = e.LimitPerSecond
 			sim.cold.Record(sim.now, pacer.ColdEntry, s.ID, 0, duration-coldNewsDelay+800*time.Millisecond)
 		})
 		sim.schedule(start+duration, func() { eng.cold = nil })
@@ -60,7 +60,7 @@
 	if !sim.isCold(server) {
 		return admitter.ColdLimit{}
 	}
-	return admitter.ColdLimit{Phase: pacer.Cold, PerSecond: coldRule.Rate(sim.coldPerSecond)}
+	return admitter.ColdLimit{Phase: pacer.Cold, PerSecond: coldRule.Rate(sim.coldRate)}
 }
 
 // recordColdStart updates the report when an engine gets a request.
--- a/internal/rehearser/rehearser.go
+++ b/internal/rehearser/rehearser.go
@@ -77,9 +77,9 @@
 	quarantiner quarantiner.Quarantiner
 	// limits holds the limits of engines that the routers know.
 	limits map[string]float64
-	// cold holds the cold engines that the routers know, and coldPerSecond the rate of each.
+	// cold holds the cold engines that the routers know, and coldRate the rate of each.
 	cold          pacer.ColdServers
-	coldPerSecond float64
+	coldRate float64
 }
 
 // epoch is the wall clock time at which virtual time starts.
