--- a/internal/rehearser/rehearser.go
+++ b/internal/rehearser/rehearser.go
@@ -78,7 +78,7 @@
 	// limits holds the limits of engines that the routers know.
 	limits map[string]float64
 	// cold holds the cold engines that the routers know, and coldRate the rate of each.
-	cold          pacer.ColdServers
+	cold     pacer.ColdServers
 	coldRate float64
 }
 
