--- a/internal/soaker/fault_proxy_test.go
+++ b/internal/soaker/fault_proxy_test.go
@@ -60,9 +60,12 @@
 func (p *faultProxy) crash(downtime time.Duration) { p.end(downtime, p.resetConns, 0) }
 
 // exit closes all connections and then the listening socket, as the kernel does for a process that has ended, and refuses
-// new ones for a while.
+// new ones for a while. Such a process reads and writes nothing after its first connection is closed.
 func (p *faultProxy) exit(downtime time.Duration) {
-	p.end(downtime, func() { p.forEachConn((*proxiedConn).close) }, listenerDelay)
+	p.end(downtime, func() {
+		p.forEachConn(func(conn *proxiedConn) { conn.blackholed.Store(true) })
+		p.forEachConn((*proxiedConn).close)
+	}, listenerDelay)
 }
 
 // listenerDelay is how long the listening socket of a process outlives its connections.
