--- a/review/tools-2/lab.go
+++ b/review/tools-2/lab.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sort"
 	"strconv"
@@ -47,6 +48,12 @@
 	l.must(err)
 	l.record("case %s trouble=%v", filepath.Base(caseDir), l.trouble)
 	l.store = newStore(l)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		l.fail("ended by a signal")
+	}()
 	time.AfterFunc(110*time.Second, func() { l.fail("the case took longer than 110 s") })
 	return l
 }
