--- a/review/tools-2/slowbody.go
+++ b/review/tools-2/slowbody.go
@@ -23,6 +23,8 @@
 	// slowTimeout is the route's timeoutMs, and answerSlack what the rule adds to it.
 	slowTimeout = 1500 * time.Millisecond
 	answerSlack = 500 * time.Millisecond
+	// abandonAfter is when a requester abandons a stream without an event: eight times the pause of 400 ms.
+	abandonAfter = 3200 * time.Millisecond
 )
 
 // slowbody sends requests whose bodies take 0.8 s to arrive. Meanwhile many users come at once.
@@ -61,11 +63,16 @@
 		const bodyBytes = 2400
 		h := head("POST", path, "a.example", id, bodyBytes, "Deadline-Ms: 15000", "Api-Key: key-1", "Model: m",
 			"Token-Usage: "+tokens, fmt.Sprintf("Prompt-Prefix: a%d:341,b%d:227,c%s:500", i%20, i%100, id))
+		begun := time.Now()
 		fmt.Fprint(c, h+strings.Repeat("x", bodyBytes/2))
 		time.Sleep(pause)
 		fmt.Fprint(c, strings.Repeat("y", bodyBytes/2))
 		sent := time.Now()
-		c.SetReadDeadline(sent.Add(14 * time.Second))
+		if pause > 0 {
+			c.SetReadDeadline(begun.Add(abandonAfter))
+		} else {
+			c.SetReadDeadline(begun.Add(14 * time.Second))
+		}
 		a := readAnswer(bufio.NewReader(c), "POST")
 		return a, time.Since(sent)
 	}
